--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
@@ -12,6 +12,7 @@
 import io.lagoonseam.entry.configuration.ConfigurationStore;
 import io.lagoonseam.entry.configuration.FileSetReader;
 import io.lagoonseam.entry.configuration.SourceFile;
+import io.lagoonseam.entry.dispatch.ServicePolicies;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.settings.EntrySettings;
 import io.lagoonseam.standin.AbstractStandIn;
@@ -40,13 +41,15 @@
     private final Vertx vertx;
     private final long seed;
     private final EventSink events;
+    private final ServicePolicies policies;
     private final Map<String, ModelEngineStandIn> engines = new LinkedHashMap<>();
     private final Map<String, PlainServiceStandIn> plainServices = new LinkedHashMap<>();
     private final List<EntryNode> nodes = new ArrayList<>();
     private PlatformStandIn platform;
     private FileSet fileSet;
 
-    private LocalFleet(Vertx vertx, long seed, EventSink events) {
+    private LocalFleet(Vertx vertx, long seed, EventSink events, ServicePolicies policies) {
+        this.policies = policies;
         this.vertx = vertx;
         this.seed = seed;
         this.events = events;
@@ -62,7 +65,22 @@
      * @return the running fleet
      */
     public static LocalFleet start(List<SourceFile> files, int nodeCount, long seed, EventSink events) {
-        LocalFleet fleet = new LocalFleet(Vertx.vertx(), seed, events);
+        return start(files, nodeCount, seed, events, ServicePolicies.standard());
+    }
+
+    /**
+     * Starts a fleet with policies of its own, to compare them.
+     *
+     * @param files the file set; the ports of its upstreams are replaced
+     * @param nodeCount the number of entry nodes
+     * @param seed the seed of all random choices
+     * @param events the sink of numbered events
+     * @param policies the policies of each service
+     * @return the running fleet
+     */
+    public static LocalFleet start(
+            List<SourceFile> files, int nodeCount, long seed, EventSink events, ServicePolicies policies) {
+        LocalFleet fleet = new LocalFleet(Vertx.vertx(), seed, events, policies);
         try {
             fleet.startAll(files, nodeCount);
         } catch (RuntimeException e) {
@@ -145,7 +163,7 @@
                         "entry-" + (index + 1), dataCentres.get(index % dataCentres.size()), platform.url())
                 .seed(seed + index)
                 .build();
-        EntryNode node = new EntryNode(vertx, settings, events);
+        EntryNode node = new EntryNode(vertx, settings, events, policies);
         await(node.start());
         nodes.add(node);
     }
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which entry nodes exist and answer. */
+package io.lagoonseam.core.membership;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -14,6 +14,7 @@
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
+import io.lagoonseam.entry.dispatch.ServicePolicies;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.platform.SingleWriteOperationJournal;
@@ -72,6 +73,18 @@
      * @param events the sink of numbered events
      */
     public EntryNode(Vertx vertx, EntrySettings settings, EventSink events) {
+        this(vertx, settings, events, ServicePolicies.standard());
+    }
+
+    /**
+     * Creates a node with policies of its own, to compare them.
+     *
+     * @param vertx the Vert.x instance that it runs on
+     * @param settings its settings
+     * @param events the sink of numbered events
+     * @param policies the policies of each service
+     */
+    public EntryNode(Vertx vertx, EntrySettings settings, EventSink events, ServicePolicies policies) {
         this.vertx = vertx;
         this.settings = settings;
         this.events = events;
@@ -87,6 +100,7 @@
                 new RouterMetrics(registry),
                 invariants,
                 events,
+                policies,
                 settings.seed()));
         this.follower = new ConfigurationFollower(
                 vertx, platform, configuration, events, dispatcher::configure, settings.seed());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/DispatchEnvironment.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/DispatchEnvironment.java
@@ -17,6 +17,7 @@
  * @param metrics the metrics of requests
  * @param invariants the checks at run time
  * @param events the sink of numbered events
+ * @param policies the policies of each service
  * @param seed the seed of random choices
  */
 public record DispatchEnvironment(
@@ -27,4 +28,5 @@
         RouterMetrics metrics,
         InvariantMonitor invariants,
         EventSink events,
+        ServicePolicies policies,
         long seed) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -8,7 +8,6 @@
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.operation.OperationJournal;
 import io.lagoonseam.core.retry.RetryBudget;
-import io.lagoonseam.core.routing.TwoChoicesSelector;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.upstream.UpstreamClient;
 import java.util.List;
@@ -33,6 +32,7 @@
     private final RouterMetrics metrics;
     private final InvariantMonitor invariants;
     private final EventSink events;
+    private final ServicePolicies policies;
     private final Random random;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -49,6 +49,7 @@
         this.metrics = environment.metrics();
         this.invariants = environment.invariants();
         this.events = environment.events();
+        this.policies = environment.policies();
         this.random = new Random(environment.seed());
     }
 
@@ -74,7 +75,8 @@
     }
 
     private ServiceDispatcher newService() {
-        return new ServiceDispatcher(new TwoChoicesSelector(new Random(random.nextLong())), time, invariants);
+        return new ServiceDispatcher(
+                policies.admission().get(), policies.selector().apply(new Random(random.nextLong())), time, invariants);
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -1,7 +1,6 @@
 package io.lagoonseam.entry.dispatch;
 
 import io.lagoonseam.core.admission.AdmissionController;
-import io.lagoonseam.core.admission.DefaultAdmissionController;
 import io.lagoonseam.core.admission.OfferResult;
 import io.lagoonseam.core.admission.ShedTicket;
 import io.lagoonseam.core.admission.Ticket;
@@ -29,14 +28,16 @@
 final class ServiceDispatcher {
 
     private final RankedLock lock = new RankedLock(LockRank.SERVICE);
-    private final AdmissionController admission = new DefaultAdmissionController();
+    private final AdmissionController admission;
     private final Map<String, QueuedRequest> waiting = new HashMap<>();
     private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
     private final WorkerSelector selector;
     private final TimeSource time;
     private final InvariantMonitor invariants;
 
-    ServiceDispatcher(WorkerSelector selector, TimeSource time, InvariantMonitor invariants) {
+    ServiceDispatcher(
+            AdmissionController admission, WorkerSelector selector, TimeSource time, InvariantMonitor invariants) {
+        this.admission = admission;
         this.selector = selector;
         this.time = time;
         this.invariants = invariants;
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/package-info.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Messages between entry nodes and their codec. */
 package io.lagoonseam.wire;
