load: open-loop traffic against running nodes, with a report

Cause: only the demo could send traffic, and only to nodes in its own process; times counted from the actual send, which hides the wait of a late sender.

Conclusion: load can be sent to any running system; the figures include the warm-up of fresh processes.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/ClassReport.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/ClassReport.java
@@ -45,6 +45,15 @@
         brokenAnswers++;
     }
 
+    /**
+     * Returns the times to the first token.
+     *
+     * @return a copy, in milliseconds
+     */
+    public Histogram firstTokenHistogram() {
+        return firstTokenMillis.copy();
+    }
+
     /**
      * Returns the requests sent.
      *
@@ -54,6 +63,17 @@
         return requests;
     }
 
+    /**
+     * Returns the requests that have ended, answered or not.
+     *
+     * @return requests
+     */
+    public long ended() {
+        long refused =
+                refusedByVerdict.values().stream().mapToLong(Long::longValue).sum();
+        return answered + wrongAnswers + brokenAnswers + refused;
+    }
+
     /**
      * Returns the requests that got a whole answer.
      *
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
@@ -20,12 +20,15 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Sends requests at random times that do not depend on the answers, to one entry address after the other. */
 public final class TrafficGenerator {
 
     private static final int POOL_SIZE = 4_096;
     private static final int OK = 200;
+    private static final long PROGRESS_MILLIS = 1_000;
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final String DATA = "data: ";
 
     private final Vertx vertx;
@@ -65,12 +68,35 @@
      */
     public static Future<TrafficReport> run(
             Vertx vertx, List<String> targets, FileSet fileSet, TrafficProfile profile, long seed) {
+        return run(vertx, targets, fileSet, profile, seed, progress -> {});
+    }
+
+    /**
+     * Runs a profile and shows its progress.
+     *
+     * @param vertx the Vert.x instance
+     * @param targets the addresses of the entry nodes, each a URL without a path
+     * @param fileSet the file set, for the targets of the classes
+     * @param profile the traffic
+     * @param seed the seed of arrivals and prompts
+     * @param progress hears of the report each second, on the thread that writes it
+     * @return completes when every request has ended
+     */
+    public static Future<TrafficReport> run(
+            Vertx vertx,
+            List<String> targets,
+            FileSet fileSet,
+            TrafficProfile profile,
+            long seed,
+            Consumer<TrafficReport> progress) {
         TrafficGenerator generator = new TrafficGenerator(vertx, targets, fileSet, profile, seed);
-        generator.context.runOnContext(nothing -> generator.begin());
+        generator.context.runOnContext(nothing -> generator.begin(progress));
         return generator.finished.future();
     }
 
-    private void begin() {
+    private void begin(Consumer<TrafficReport> progress) {
+        long timer = vertx.setPeriodic(PROGRESS_MILLIS, fired -> progress.accept(report));
+        finished.future().onComplete(ended -> vertx.cancelTimer(timer));
         arrivalsRunning = profile.classes().size();
         for (ClassProfile classProfile : profile.classes()) {
             report.ofClass(classProfile.requestClass());
@@ -106,7 +132,7 @@
             number++;
             String key =
                     classProfile.keys().get(random.nextInt(classProfile.keys().size()));
-            send(classProfile, key, number);
+            send(classProfile, key, number, startNanos + (long) (arrivalMillis * NANOS_PER_MILLI));
             scheduleNext();
         }
     }
@@ -121,13 +147,14 @@
         }
     }
 
-    private void send(ClassProfile classProfile, String key, long number) {
+    /** Sends a request whose times count from its intended arrival, so that a late sender hides no wait. */
+    private void send(ClassProfile classProfile, String key, long number, long intendedNanos) {
         requestsRunning++;
         ClassReport classReport = report.ofClass(classProfile.requestClass());
         classReport.request();
         String target = targets.get(nextTarget++ % targets.size());
         RequestOptions options = options(classProfile, target, key, number);
-        Exchange exchange = new Exchange(classProfile, classReport, prompt(classProfile, number), System.nanoTime());
+        Exchange exchange = new Exchange(classProfile, classReport, prompt(classProfile, number), intendedNanos);
         client.request(options)
                 .compose(request -> request.send(exchange.body().toBuffer()))
                 .onSuccess(exchange::answered)
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficReport.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficReport.java
@@ -35,6 +35,33 @@
         return classes.values().stream().mapToLong(ClassReport::wrongAnswers).sum();
     }
 
+    /**
+     * Returns the requests that have ended, answered or not.
+     *
+     * @return requests of all classes
+     */
+    public long ended() {
+        return classes.values().stream().mapToLong(ClassReport::ended).sum();
+    }
+
+    /**
+     * Returns the requests sent.
+     *
+     * @return requests of all classes
+     */
+    public long requests() {
+        return classes.values().stream().mapToLong(ClassReport::requests).sum();
+    }
+
+    /**
+     * Returns the tokens of whole answers.
+     *
+     * @return tokens of all classes
+     */
+    public long tokens() {
+        return classes.values().stream().mapToLong(ClassReport::tokens).sum();
+    }
+
     /**
      * Renders a table.
      *
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -29,6 +29,7 @@
             new ConfigShowCommand(),
             new ConfigHashKeyCommand(),
             new StandInCommand(),
+            new LoadCommand(),
             new ExperimentCommand(),
             new DemoCommand(),
             new StatusCommand());
--- a/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
+++ b/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
@@ -32,6 +32,7 @@
             {"config show"},
             {"config hash-key"},
             {"standin"},
+            {"load"},
             {"experiment"},
             {"demo"},
             {"status"}
