--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/AbstractStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/AbstractStandIn.java
@@ -8,6 +8,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import java.lang.management.ManagementFactory;
 
 /** An HTTP server with switchable faults and readable counters. All its state belongs to one event loop. */
 public abstract class AbstractStandIn extends VerticleBase {
@@ -53,12 +54,17 @@
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false).setBodyLimit(BODY_LIMIT_BYTES));
         router.post("/faults").handler(this::switchFaults);
-        router.get("/counters").handler(context -> sendJson(context, 200, counters()));
+        router.get("/counters").handler(this::readCounters);
         addRoutes(router);
         server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(0));
         return server.requestHandler(router).listen(requestedPort, host).onSuccess(ready -> started());
     }
 
+    private void readCounters(RoutingContext context) {
+        long cpuNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        sendJson(context, 200, counters().put("eventLoopCpuNanos", cpuNanos));
+    }
+
     private void switchFaults(RoutingContext context) {
         JsonObject body = context.body().asJsonObject();
         applyFaults(body == null ? new JsonObject() : body);
