--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -86,6 +86,19 @@
     /** An upstream is leaving. */
     UPSTREAM_LEAVING(702, EventLevel.INFO, "An upstream is leaving and gets no new work"),
 
+    /** This node places models for a service. */
+    PLACEMENT_LEASE_TAKEN(801, EventLevel.INFO, "This node holds the placement lease of a service"),
+    /** This node no longer places models for a service. */
+    PLACEMENT_LEASE_LOST(802, EventLevel.WARNING, "This node no longer holds the placement lease of a service"),
+    /** An engine took an order. */
+    ENGINE_ORDERED(803, EventLevel.INFO, "An engine took an order"),
+    /** An engine refused an old fencing number. */
+    ENGINE_ORDER_FENCED(804, EventLevel.WARNING, "An engine refused an order with an old fencing number"),
+    /** An order was not answered. */
+    ENGINE_ORDER_FAILED(805, EventLevel.WARNING, "An engine did not answer an order"),
+    /** A model did not load. */
+    MODEL_LOAD_FAILED(806, EventLevel.WARNING, "An engine could not load a model"),
+
     /** A stated invariant does not hold. */
     INVARIANT_VIOLATED(901, EventLevel.ERROR, "An invariant does not hold");
 
