Peer layer over TCP and membership by probes, wired into the entry node

Change: VertxPeerTransport (length-prefixed MessagePack frames, one open connection for each pair, NotSent and Unknown classed by whether bytes left), DefaultMemberDirectory (probes, indirect probes, suspicion, incarnations, updates and piggybacked numbers on probes), MemberRegistration on the platform, settings peers, seeds and tls (all optional). Conclusion: a thin slice that other parts can build on; randomised runs, fuzzing and measurements follow.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -85,6 +85,20 @@
     PLATFORM_UNREACHABLE(701, EventLevel.WARNING, "The platform does not answer"),
     /** An upstream is leaving. */
     UPSTREAM_LEAVING(702, EventLevel.INFO, "An upstream is leaving and gets no new work"),
+    /** A member answers, or came back. */
+    MEMBER_ALIVE(703, EventLevel.INFO, "A member answers"),
+    /** A member answers neither this node nor others. */
+    MEMBER_SUSPECTED(704, EventLevel.WARNING, "A member does not answer and is suspected"),
+    /** A member announced that it leaves. */
+    MEMBER_LEAVING(705, EventLevel.INFO, "A member announced that it leaves"),
+    /** A member is gone. */
+    MEMBER_DEAD(706, EventLevel.WARNING, "A member is held dead"),
+    /** A peer sent something that is not a frame. */
+    PEER_FRAME_BAD(707, EventLevel.WARNING, "A peer's frame cannot be read; its connection was closed"),
+    /** A peer's connection was silent. */
+    PEER_SILENT(708, EventLevel.WARNING, "A peer's connection was silent and was replaced"),
+    /** The node could not register itself. */
+    REGISTRATION_FAILED(709, EventLevel.WARNING, "The node could not write its registration; it will try again"),
 
     /** A stated invariant does not hold. */
     INVARIANT_VIOLATED(901, EventLevel.ERROR, "An invariant does not hold");
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
 import io.lagoonseam.entry.operator.OperatorRoutes;
+import io.lagoonseam.entry.peer.PeerLayer;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.platform.SingleWriteOperationJournal;
 import io.lagoonseam.entry.settings.EntrySettings;
@@ -57,6 +58,7 @@
     private final ActiveConfiguration configuration;
     private final PlatformClient platform;
     private final ExecutorService decisions;
+    private final PeerLayer peers;
     private final Dispatcher dispatcher;
     private final ConfigurationFollower follower;
     private final List<Long> timers = new ArrayList<>();
@@ -92,6 +94,8 @@
         this.configuration = new ActiveConfiguration(invariants);
         this.platform = new PlatformClient(vertx, settings.platformUrl());
         this.decisions = newDecisionThreads(settings);
+        this.peers =
+                new PeerLayer(new PeerLayer.Environment(vertx, settings, platform, decisions, time, registry, events));
         this.dispatcher = new Dispatcher(new DispatchEnvironment(
                 decisions,
                 time,
@@ -128,6 +132,7 @@
                 .onSuccess(server -> callerServer = server)
                 .compose(server -> listen(operators.router(vertx), settings.operators()))
                 .onSuccess(server -> operatorServer = server)
+                .compose(server -> peers.start())
                 .onSuccess(server -> started())
                 .mapEmpty();
     }
@@ -181,6 +186,15 @@
         return operatorServer.actualPort();
     }
 
+    /**
+     * Returns what talks with other nodes.
+     *
+     * @return the peer layer
+     */
+    public PeerLayer peers() {
+        return peers;
+    }
+
     /**
      * Returns the node's settings.
      *
@@ -226,6 +240,7 @@
         if (stopping == null) {
             state = State.LEAVING;
             events.record(EventCode.NODE_STOPPING, dispatcher.inFlight() + " requests in flight");
+            peers.leave();
             Promise<Void> drained = Promise.promise();
             vertx.setTimer(Math.max(1, settings.leaveNoticeMillis()), timer -> {
                 state = State.REFUSING;
@@ -264,9 +279,13 @@
     private Future<Void> close() {
         follower.stop();
         timers.forEach(vertx::cancelTimer);
-        return callerServer.close().compose(nothing -> operatorServer.close()).onComplete(nothing -> {
-            decisions.shutdown();
-            events.record(EventCode.NODE_STOPPED, settings.nodeId());
-        });
+        return callerServer
+                .close()
+                .compose(nothing -> operatorServer.close())
+                .compose(nothing -> peers.close())
+                .onComplete(nothing -> {
+                    decisions.shutdown();
+                    events.record(EventCode.NODE_STOPPED, settings.nodeId());
+                });
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/settings/EntrySettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/settings/EntrySettings.java
@@ -1,5 +1,9 @@
 package io.lagoonseam.entry.settings;
 
+import io.lagoonseam.entry.tls.TlsFiles;
+import java.util.List;
+import java.util.Optional;
+
 /** The settings of one entry node. */
 public final class EntrySettings {
 
@@ -7,6 +11,10 @@
     private final String dataCentre;
     private final ListenAddress callers;
     private final ListenAddress operators;
+    private final ListenAddress peers;
+    private final List<PeerSeed> seeds;
+    private final Optional<TlsFiles> peerTls;
+    private final Optional<TlsFiles> callerTls;
     private final String platformUrl;
     private final int workerThreads;
     private final int bodyLimitBytes;
@@ -19,6 +27,10 @@
         this.dataCentre = builder.dataCentre;
         this.callers = builder.callers;
         this.operators = builder.operators;
+        this.peers = builder.peers;
+        this.seeds = List.copyOf(builder.seeds);
+        this.peerTls = Optional.ofNullable(builder.peerTls);
+        this.callerTls = Optional.ofNullable(builder.callerTls);
         this.platformUrl = builder.platformUrl;
         this.workerThreads = builder.workerThreads;
         this.bodyLimitBytes = builder.bodyLimitBytes;
@@ -75,6 +87,42 @@
         return operators;
     }
 
+    /**
+     * Returns where other nodes reach this one.
+     *
+     * @return the address
+     */
+    public ListenAddress peers() {
+        return peers;
+    }
+
+    /**
+     * Returns nodes to ask when the platform does not answer at the start.
+     *
+     * @return the nodes, often none
+     */
+    public List<PeerSeed> seeds() {
+        return seeds;
+    }
+
+    /**
+     * Returns the certificates for connections with other nodes.
+     *
+     * @return the files, or empty for plain connections
+     */
+    public Optional<TlsFiles> peerTls() {
+        return peerTls;
+    }
+
+    /**
+     * Returns the certificates for connections of callers.
+     *
+     * @return the files, or empty for plain connections
+     */
+    public Optional<TlsFiles> callerTls() {
+        return callerTls;
+    }
+
     /**
      * Returns the platform's address.
      *
@@ -137,6 +185,10 @@
         private final String platformUrl;
         private ListenAddress callers = new ListenAddress("127.0.0.1", 0);
         private ListenAddress operators = new ListenAddress("127.0.0.1", 0);
+        private ListenAddress peers = new ListenAddress("127.0.0.1", 0);
+        private List<PeerSeed> seeds = List.of();
+        private TlsFiles peerTls;
+        private TlsFiles callerTls;
         private int workerThreads = 2;
         private int bodyLimitBytes = 1_000_000;
         private long leaveNoticeMillis = 500;
@@ -171,6 +223,50 @@
             return this;
         }
 
+        /**
+         * Sets where other nodes reach this one.
+         *
+         * @param value the address
+         * @return this builder
+         */
+        public Builder peers(ListenAddress value) {
+            this.peers = value;
+            return this;
+        }
+
+        /**
+         * Sets nodes to ask when the platform does not answer at the start.
+         *
+         * @param value the nodes
+         * @return this builder
+         */
+        public Builder seeds(List<PeerSeed> value) {
+            this.seeds = value;
+            return this;
+        }
+
+        /**
+         * Sets the certificates for connections with other nodes.
+         *
+         * @param value the files
+         * @return this builder
+         */
+        public Builder peerTls(TlsFiles value) {
+            this.peerTls = value;
+            return this;
+        }
+
+        /**
+         * Sets the certificates for connections of callers.
+         *
+         * @param value the files
+         * @return this builder
+         */
+        public Builder callerTls(TlsFiles value) {
+            this.callerTls = value;
+            return this;
+        }
+
         /**
          * Sets the number of threads that run decisions.
          *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/settings/EntrySettingsLoader.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/settings/EntrySettingsLoader.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.lagoonseam.core.configuration.ConfigurationError;
 import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
+import io.lagoonseam.entry.tls.TlsFiles;
 import io.lagoonseam.entry.yaml.LocatedDocument;
 import io.lagoonseam.entry.yaml.LocatedYamlReader;
 import io.lagoonseam.entry.yaml.SchemaChecker;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -63,6 +65,7 @@
                 root.get("platformUrl").asText());
         builder.callers(address(root.get("callers")));
         builder.operators(address(root.get("operators")));
+        bindPeers(root, builder);
         if (root.has("workerThreads")) {
             builder.workerThreads(root.get("workerThreads").asInt());
         }
@@ -81,6 +84,33 @@
         return builder.build();
     }
 
+    private static void bindPeers(JsonNode root, EntrySettings.Builder builder) {
+        if (root.has("peers")) {
+            builder.peers(address(root.get("peers")));
+        }
+        List<PeerSeed> seeds = new ArrayList<>();
+        for (JsonNode seed : root.path("seeds")) {
+            seeds.add(new PeerSeed(
+                    seed.get("nodeId").asText(),
+                    seed.get("host").asText(),
+                    seed.get("port").asInt()));
+        }
+        builder.seeds(seeds);
+        if (root.path("tls").has("peers")) {
+            builder.peerTls(tls(root.get("tls").get("peers")));
+        }
+        if (root.path("tls").has("callers")) {
+            builder.callerTls(tls(root.get("tls").get("callers")));
+        }
+    }
+
+    private static TlsFiles tls(JsonNode node) {
+        return new TlsFiles(
+                node.get("certificateFile").asText(),
+                node.get("keyFile").asText(),
+                node.path("authorityFile").asText(""));
+    }
+
     private static ListenAddress address(JsonNode node) {
         return new ListenAddress(node.get("host").asText(), node.get("port").asInt());
     }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -6,5 +6,8 @@
  */
 public final class MessageTypes {
 
+    /** Upstreams that are leaving, as one node read or heard. */
+    public static final int UPSTREAM_SIGNS = 5;
+
     private MessageTypes() {}
 }
