Configuration as small parts with a change record each, relays and pulls between nodes

Cause: each file was one part, each node held a watch, a change that another one followed could not be settled. Change: documents are split into buckets by kind and name; an immutable record of each change links back to earlier ones; the manifest is small and settled by repeating its conditional update or by the accepted history. Two relays of a data centre watch, others pull deltas from the node that announced. Nodes parse only parts that changed. Conclusion: the slice runs in the daemon, alone until the peer layer is in.

--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/ConfigApplyCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/ConfigApplyCommand.java
@@ -64,6 +64,7 @@
             Manifest winner = conflicted.winner();
             err.println("not applied: generation " + winner.generation() + " by " + winner.author() + " went first: "
                     + winner.reason());
+            conflicted.clashes().forEach(clash -> err.println("  both touch " + clash));
             return ExitCode.FAILED;
         }
         err.println("not confirmed: " + result);
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -80,6 +80,10 @@
     CONFIGURATION_UNREADABLE(602, EventLevel.ERROR, "A configuration generation cannot be read"),
     /** No configuration is in force yet. */
     CONFIGURATION_ABSENT(603, EventLevel.INFO, "No configuration is in force yet"),
+    /** This node watches the platform for its data centre. */
+    CONFIGURATION_RELAY_TAKEN(604, EventLevel.INFO, "This node watches the platform for its data centre"),
+    /** This node no longer watches the platform. */
+    CONFIGURATION_RELAY_GIVEN_UP(605, EventLevel.INFO, "This node no longer watches the platform for its data centre"),
 
     /** The platform does not answer. */
     PLATFORM_UNREACHABLE(701, EventLevel.WARNING, "The platform does not answer"),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -5,12 +5,17 @@
 import io.lagoonseam.core.audit.EventSink;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
+import io.lagoonseam.core.membership.Member;
+import io.lagoonseam.core.membership.MemberState;
+import io.lagoonseam.core.membership.SoleMemberDirectory;
+import io.lagoonseam.core.peer.NoopPeerTransport;
 import io.lagoonseam.core.platform.VmEntry;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.caller.CallerRoutes;
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
+import io.lagoonseam.entry.configuration.FollowerEnvironment;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
@@ -102,8 +107,20 @@
                 events,
                 policies,
                 settings.seed()));
-        this.follower = new ConfigurationFollower(
-                vertx, platform, configuration, events, dispatcher::configure, settings.seed());
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
+    }
+
+    private FollowerEnvironment followerEnvironment() {
+        Member self = new Member(settings.nodeId(), settings.dataCentre(), "", 0, 0, MemberState.ALIVE);
+        return new FollowerEnvironment(
+                platform,
+                new NoopPeerTransport(),
+                new SoleMemberDirectory(self),
+                (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
+                decisions,
+                time,
+                events,
+                settings.seed());
     }
 
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
@@ -160,7 +177,7 @@
      * @return true once a configuration is in force and until the node stops
      */
     public boolean isReady() {
-        return state == State.SERVING && configuration.current().isPresent();
+        return state == State.SERVING && follower.isCaughtUp();
     }
 
     /**
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/Change.java
@@ -0,0 +1,31 @@
+package io.lagoonseam.entry.configuration;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One change of the file set as it is kept for good.
+ *
+ * @param manifest the manifest that makes it current
+ * @param base the change it was made on, or null for the first
+ * @param changedParts the digests of parts that were added or changed, by name
+ * @param removedParts the names of parts that were removed
+ * @param texts the content of changed parts by digest, where it is small
+ * @param differences the documents that differ
+ */
+public record Change(
+        Manifest manifest,
+        Manifest.ChangeLink base,
+        Map<String, String> changedParts,
+        List<String> removedParts,
+        Map<String, String> texts,
+        List<DocumentDifference> differences) {
+
+    /** Copies the collections. */
+    public Change {
+        changedParts = Map.copyOf(changedParts);
+        removedParts = List.copyOf(removedParts);
+        texts = Map.copyOf(texts);
+        differences = List.copyOf(differences);
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationStore.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationStore.java
@@ -2,23 +2,27 @@
 
 import io.lagoonseam.core.platform.ObjectStore;
 import io.lagoonseam.core.platform.ReadResult;
-import io.lagoonseam.core.platform.WriteCondition;
-import io.lagoonseam.core.platform.WriteResult;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-/** Keeps file sets on the platform: immutable parts named by their content, and one manifest that names the parts. */
+/**
+ * Keeps file sets on the platform: immutable parts named by their content, an immutable record of each change, and one
+ * manifest that says which change is current.
+ */
 public final class ConfigurationStore {
 
     /** The name of the manifest's object. */
     public static final String MANIFEST = "configuration/manifest";
 
-    private static final String PARTS = "configuration/parts/";
+    static final String PARTS = "configuration/parts/";
+    static final String CHANGES = "configuration/changes/";
+
+    private static final int PARALLEL_READS = 64;
 
     private final ObjectStore store;
 
@@ -57,31 +61,116 @@
     }
 
     /**
-     * Reads the files that a manifest names.
+     * Reads one accepted change.
      *
-     * @param manifest the manifest
-     * @return its files; completes exceptionally if one cannot be read
+     * @param id its id
+     * @return the change; completes exceptionally if it cannot be read
      */
-    public CompletionStage<List<SourceFile>> files(Manifest manifest) {
-        CompletionStage<List<SourceFile>> files = CompletableFuture.completedFuture(new ArrayList<>());
-        for (Manifest.Part part : manifest.parts()) {
-            files = files.thenCombine(store.read(PARTS + part.digest()), (list, read) -> {
-                list.add(new SourceFile(part.name(), text(part, read)));
+    public CompletionStage<Change> change(String id) {
+        return bytes(CHANGES + id).thenApply(value -> ConfigurationJson.read(value, Change.class));
+    }
+
+    /**
+     * Reads a part.
+     *
+     * @param digest its digest
+     * @return its text; completes exceptionally if it cannot be read
+     */
+    public CompletionStage<String> part(String digest) {
+        return bytes(PARTS + digest).thenApply(value -> new String(value, StandardCharsets.UTF_8));
+    }
+
+    private CompletionStage<byte[]> bytes(String name) {
+        return store.read(name).thenApply(read -> {
+            if (read instanceof ReadResult.Found found) {
+                return found.value();
+            }
+            throw new IllegalStateException(name + " cannot be read: " + read);
+        });
+    }
+
+    /**
+     * Reads the changes after a generation.
+     *
+     * @param manifest the manifest, whose checkpoint is not after that generation
+     * @param generation the generation
+     * @return the changes in order, up to the manifest's
+     */
+    public CompletionStage<List<Change>> changesAfter(Manifest manifest, long generation) {
+        int skipped = (int) (generation - manifest.checkpoint().generation());
+        List<String> ids =
+                manifest.changesSince().subList(skipped, manifest.changesSince().size());
+        return inOrder(ids.stream().map(this::change).toList());
+    }
+
+    /**
+     * Reads which parts a generation has.
+     *
+     * @param manifest its manifest
+     * @return the listing; completes exceptionally if it cannot be read
+     */
+    public CompletionStage<Listing> listing(Manifest manifest) {
+        Manifest.Checkpoint checkpoint = manifest.checkpoint();
+        return bytes(PARTS + checkpoint.digest())
+                .thenApply(Listing::parse)
+                .thenCombine(changesAfter(manifest, checkpoint.generation()), (listing, changes) -> {
+                    Listing result = listing;
+                    for (Change change : changes) {
+                        result = result.with(change.changedParts(), change.removedParts());
+                    }
+                    return result;
+                });
+    }
+
+    /**
+     * Reads parts, a bounded number at a time.
+     *
+     * @param digests their digests by name
+     * @return the parts as files
+     */
+    public CompletionStage<List<SourceFile>> parts(Map<String, String> digests) {
+        List<Map.Entry<String, String>> entries = List.copyOf(digests.entrySet());
+        CompletionStage<List<SourceFile>> all = CompletableFuture.completedFuture(new ArrayList<>());
+        for (int start = 0; start < entries.size(); start += PARALLEL_READS) {
+            List<Map.Entry<String, String>> batch =
+                    entries.subList(start, Math.min(entries.size(), start + PARALLEL_READS));
+            all = all.thenCompose(files -> batch(batch).thenApply(read -> {
+                files.addAll(read);
+                return files;
+            }));
+        }
+        return all;
+    }
+
+    private CompletionStage<List<SourceFile>> batch(List<Map.Entry<String, String>> entries) {
+        return inOrder(entries.stream()
+                .map(entry -> part(entry.getValue()).thenApply(text -> new SourceFile(entry.getKey(), text)))
+                .toList());
+    }
+
+    private static <T> CompletionStage<List<T>> inOrder(List<CompletionStage<T>> stages) {
+        CompletionStage<List<T>> all = CompletableFuture.completedFuture(new ArrayList<>());
+        for (CompletionStage<T> stage : stages) {
+            all = all.thenCombine(stage, (list, item) -> {
+                list.add(item);
                 return list;
             });
         }
-        return files;
+        return all;
     }
 
-    private static String text(Manifest.Part part, ReadResult read) {
-        if (read instanceof ReadResult.Found found) {
-            return new String(found.value(), StandardCharsets.UTF_8);
-        }
-        throw new IllegalStateException("part " + part.name() + " cannot be read: " + read);
+    /**
+     * Reads the documents of a generation.
+     *
+     * @param manifest its manifest
+     * @return its parts as files; completes exceptionally if one cannot be read
+     */
+    public CompletionStage<List<SourceFile>> files(Manifest manifest) {
+        return listing(manifest).thenCompose(listing -> parts(listing.digests()));
     }
 
     /**
-     * Makes a checked file set current, whole or not at all.
+     * Makes a checked file set current, whole or not at all, on top of whatever is current when it begins.
      *
      * @param files its files
      * @param author who applies it
@@ -90,59 +179,22 @@
      * @return whether it is current
      */
     public CompletionStage<ApplyResult> apply(List<SourceFile> files, String author, String reason, long nowMillis) {
-        return current()
-                .thenCompose(base -> applyOn(base, files, author, reason, nowMillis))
-                .exceptionally(failure -> new ApplyResult.Failed(String.valueOf(failure.getMessage()), false));
-    }
-
-    private CompletionStage<ApplyResult> applyOn(
-            Optional<Current> base, List<SourceFile> files, String author, String reason, long nowMillis) {
-        List<Manifest.Part> parts = new ArrayList<>();
-        CompletionStage<Void> written = CompletableFuture.completedFuture(null);
-        for (SourceFile file : files) {
-            String digest = KeyHash.digest(file.text());
-            parts.add(new Manifest.Part(file.name(), digest));
-            written = written.thenCompose(nothing -> writePart(digest, file));
-        }
-        long generation = base.map(current -> current.manifest().generation()).orElse(0L) + 1;
-        Manifest manifest = new Manifest(
-                generation, author, reason, nowMillis, UUID.randomUUID().toString(), parts);
-        WriteCondition condition = base.<WriteCondition>map(current -> new WriteCondition.IfVersion(current.version()))
-                .orElseGet(WriteCondition.IfAbsent::new);
-        return written.thenCompose(nothing -> store.write(MANIFEST, manifest.encode(), condition))
-                .thenCompose(result -> settle(result, manifest));
+        return new ConfigurationWriter(store, this).apply(files, author, reason, nowMillis, Optional.empty());
     }
 
-    private CompletionStage<Void> writePart(String digest, SourceFile file) {
-        byte[] value = file.text().getBytes(StandardCharsets.UTF_8);
-        return store.write(PARTS + digest, value, new WriteCondition.IfAbsent()).thenApply(result -> {
-            if (result instanceof WriteResult.Written || result instanceof WriteResult.Conflict) {
-                return null;
-            }
-            throw new IllegalStateException("part " + file.name() + " was not written: " + result);
-        });
-    }
-
-    private CompletionStage<ApplyResult> settle(WriteResult result, Manifest manifest) {
-        if (result instanceof WriteResult.Written) {
-            return CompletableFuture.completedFuture(new ApplyResult.Applied(manifest.generation()));
-        }
-        if (result instanceof WriteResult.Unavailable unavailable) {
-            return CompletableFuture.completedFuture(new ApplyResult.Failed(unavailable.reason(), false));
-        }
-        return current()
-                .<ApplyResult>thenApply(read -> compare(read, manifest))
-                .exceptionally(failure -> new ApplyResult.Failed(
-                        String.valueOf(failure.getMessage()), result instanceof WriteResult.Unknown));
-    }
-
-    private static ApplyResult compare(Optional<Current> read, Manifest manifest) {
-        if (read.isEmpty()) {
-            return new ApplyResult.Failed("the platform lost the write", false);
-        }
-        Manifest now = read.get().manifest();
-        return now.token().equals(manifest.token())
-                ? new ApplyResult.Applied(manifest.generation())
-                : new ApplyResult.Conflicted(now);
+    /**
+     * Makes a checked file set current if the generation that it was compared with still is.
+     *
+     * @param files its files
+     * @param author who applies it
+     * @param reason why
+     * @param nowMillis the wall-clock time
+     * @param baseGeneration the generation it was compared with, 0 for none
+     * @return whether it is current
+     */
+    public CompletionStage<ApplyResult> applyOn(
+            List<SourceFile> files, String author, String reason, long nowMillis, long baseGeneration) {
+        return new ConfigurationWriter(store, this)
+                .apply(files, author, reason, nowMillis, Optional.of(baseGeneration));
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetBinder.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/DocumentBinder.java
@@ -2,8 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.lagoonseam.core.configuration.ApiKey;
-import io.lagoonseam.core.configuration.ConfigurationError;
-import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
 import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.configuration.Limits;
 import io.lagoonseam.core.configuration.Model;
@@ -20,92 +18,83 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.function.Function;
-
-/** Turns checked documents into a file set and checks the references between them. */
-final class FileSetBinder {
-
-    private final ConfigurationErrorReporter reporter;
-    private final FileSet.Builder builder = FileSet.builder();
-    private final List<Reference> references = new ArrayList<>();
-
-    FileSetBinder(ConfigurationErrorReporter reporter) {
-        this.reporter = reporter;
-    }
-
-    private record Reference(
-            LocatedDocument document, String pointer, String target, Function<FileSet, Set<String>> known) {}
-
-    void bind(String kind, LocatedDocument document) {
-        boolean added =
-                switch (kind) {
-                    case "Workspace" -> builder.add(workspace(document));
-                    case "Key" -> builder.add(key(document));
-                    case "RequestClass" -> builder.add(requestClass(document));
-                    case "ServiceLevel" -> builder.add(serviceLevel(document.root()));
-                    case "Service" -> builder.add(service(document.root()));
-                    case "Upstream" -> builder.add(upstream(document));
-                    case "Model" -> builder.add(model(document));
-                    case "Limits" -> builder.add(limits(document.root()));
-                    case "Retention" -> builder.add(retention(document.root()));
-                    default -> throw new IllegalStateException("no binding for kind " + kind);
-                };
-        if (!added) {
-            String name = document.root().get("name").asText();
-            report(document, "/name", "a " + kind + " named '" + name + "' stands already; choose another name");
-        }
-    }
-
-    FileSet finish() {
-        FileSet fileSet = builder.build();
-        for (Reference reference : references) {
-            Set<String> known = reference.known().apply(fileSet);
-            if (!known.contains(reference.target())) {
-                report(
-                        reference.document(),
-                        reference.pointer(),
-                        "'" + reference.target() + "' is not defined; known are "
-                                + String.join(", ", new TreeSet<>(known)));
-            }
+import java.util.function.Predicate;
+
+/** Turns checked documents into typed values with the references that they make. */
+final class DocumentBinder {
+
+    private final List<BoundDocument.Reference> references = new ArrayList<>();
+
+    /**
+     * Binds a document that the schema accepts.
+     *
+     * @param kind its kind
+     * @param document the document
+     * @return the document with its value
+     */
+    static BoundDocument bind(String kind, LocatedDocument document) {
+        DocumentBinder binder = new DocumentBinder();
+        Predicate<FileSet.Builder> adder = binder.adder(kind, document);
+        String name = document.root().get("name").asText();
+        return new BoundDocument(kind, name, document, adder, binder.references);
+    }
+
+    private Predicate<FileSet.Builder> adder(String kind, LocatedDocument document) {
+        switch (kind) {
+            case "Workspace":
+                Workspace workspace = workspace(document);
+                return builder -> builder.add(workspace);
+            case "Key":
+                ApiKey key = key(document);
+                return builder -> builder.add(key);
+            case "RequestClass":
+                RequestClass requestClass = requestClass(document);
+                return builder -> builder.add(requestClass);
+            case "ServiceLevel":
+                ServiceLevel serviceLevel = serviceLevel(document.root());
+                return builder -> builder.add(serviceLevel);
+            case "Service":
+                Service service = service(document.root());
+                return builder -> builder.add(service);
+            case "Upstream":
+                Upstream upstream = upstream(document);
+                return builder -> builder.add(upstream);
+            case "Model":
+                Model model = model(document);
+                return builder -> builder.add(model);
+            case "Limits":
+                Limits limits = limits(document.root());
+                return builder -> builder.add(limits);
+            case "Retention":
+                Retention retention = retention(document.root());
+                return builder -> builder.add(retention);
+            default:
+                throw new IllegalStateException("no binding for kind " + kind);
         }
-        return fileSet;
-    }
-
-    private void report(LocatedDocument document, String pointer, String message) {
-        reporter.report(new ConfigurationError(document.file(), document.line(pointer), pointer, message));
     }
 
-    private void refer(LocatedDocument document, String pointer, Function<FileSet, Set<String>> known) {
+    private void refer(LocatedDocument document, String pointer, String kind) {
         String target = document.root().at(pointer).asText();
-        references.add(new Reference(document, pointer, target, known));
-    }
-
-    private static Set<String> serviceNames(FileSet fileSet) {
-        return fileSet.services().keySet();
+        references.add(new BoundDocument.Reference(pointer, kind, target));
     }
 
     private Workspace workspace(LocatedDocument document) {
         JsonNode root = document.root();
         List<String> classes = new ArrayList<>();
         for (JsonNode item : root.get("classes")) {
-            refer(
-                    document,
-                    "/classes/" + classes.size(),
-                    fileSet -> fileSet.classes().keySet());
+            refer(document, "/classes/" + classes.size(), "RequestClass");
             classes.add(item.asText());
         }
         String limits = root.path("limits").asText("");
         if (!limits.isEmpty()) {
-            refer(document, "/limits", fileSet -> fileSet.limits().keySet());
+            refer(document, "/limits", "Limits");
         }
         return new Workspace(root.get("name").asText(), classes, limits);
     }
 
     private ApiKey key(LocatedDocument document) {
         JsonNode root = document.root();
-        refer(document, "/workspace", fileSet -> fileSet.workspaces().keySet());
+        refer(document, "/workspace", "Workspace");
         return new ApiKey(
                 root.get("name").asText(),
                 root.get("workspace").asText(),
@@ -115,10 +104,10 @@
 
     private RequestClass requestClass(LocatedDocument document) {
         JsonNode root = document.root();
-        refer(document, "/service", FileSetBinder::serviceNames);
-        refer(document, "/serviceLevel", fileSet -> fileSet.serviceLevels().keySet());
+        refer(document, "/service", "Service");
+        refer(document, "/serviceLevel", "ServiceLevel");
         if (root.has("model")) {
-            refer(document, "/model", fileSet -> fileSet.models().keySet());
+            refer(document, "/model", "Model");
         }
         return new RequestClass(
                 root.get("name").asText(),
@@ -152,7 +141,7 @@
 
     private Upstream upstream(LocatedDocument document) {
         JsonNode root = document.root();
-        refer(document, "/service", FileSetBinder::serviceNames);
+        refer(document, "/service", "Service");
         return new Upstream(
                 root.get("name").asText(),
                 root.get("service").asText(),
@@ -164,7 +153,7 @@
 
     private Model model(LocatedDocument document) {
         JsonNode root = document.root();
-        refer(document, "/service", FileSetBinder::serviceNames);
+        refer(document, "/service", "Service");
         return new Model(
                 root.get("name").asText(),
                 root.get("service").asText(),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetReader.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetReader.java
@@ -65,30 +65,41 @@
      * @return the file set, or empty if there was any fault
      */
     public Optional<FileSet> read(List<SourceFile> files, ConfigurationErrorReporter reporter) {
-        FileSetBinder binder = new FileSetBinder(reporter);
         LocatedYamlReader yaml = new LocatedYamlReader();
+        List<LocatedDocument> documents = new ArrayList<>();
         for (SourceFile file : files) {
-            for (LocatedDocument document : yaml.read(file.name(), file.text(), reporter)) {
-                readDocument(document, binder, reporter);
-            }
+            documents.addAll(yaml.read(file.name(), file.text(), reporter));
         }
-        FileSet fileSet = binder.finish();
+        FileSet fileSet = new FileSetAssembler(reporter).assemble(bind(documents, reporter));
         return reporter.hasErrors() ? Optional.empty() : Optional.of(fileSet);
     }
 
-    private void readDocument(LocatedDocument document, FileSetBinder binder, ConfigurationErrorReporter reporter) {
-        String kind = document.root().path("kind").asText();
-        SchemaChecker checker = checkers.get(kind);
-        if (checker == null) {
-            reporter.report(new ConfigurationError(
-                    document.file(),
-                    document.line("/kind"),
-                    "/kind",
-                    "'" + kind + "' is not a kind; known are " + String.join(", ", checkers.keySet())));
-            return;
-        }
-        if (checker.check(document, reporter)) {
-            binder.bind(kind, document);
+    /**
+     * Checks each document against the schema and binds those that pass.
+     *
+     * @param documents the documents
+     * @param reporter receives the faults
+     * @return the bound documents
+     */
+    List<BoundDocument> bind(List<LocatedDocument> documents, ConfigurationErrorReporter reporter) {
+        List<BoundDocument> bound = new ArrayList<>();
+        for (LocatedDocument document : documents) {
+            String kind = document.root().path("kind").asText();
+            SchemaChecker checker = checkers.get(kind);
+            if (checker == null) {
+                reportKind(kind, document, reporter);
+            } else if (checker.check(document, reporter)) {
+                bound.add(DocumentBinder.bind(kind, document));
+            }
         }
+        return bound;
+    }
+
+    private void reportKind(String kind, LocatedDocument document, ConfigurationErrorReporter reporter) {
+        reporter.report(new ConfigurationError(
+                document.file(),
+                document.line("/kind"),
+                "/kind",
+                "'" + kind + "' is not a kind; known are " + String.join(", ", checkers.keySet())));
     }
 }
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PartReader.java
@@ -0,0 +1,80 @@
+package io.lagoonseam.entry.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.lagoonseam.core.configuration.ConfigurationError;
+import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
+import io.lagoonseam.core.configuration.FileSet;
+import io.lagoonseam.entry.yaml.LocatedDocument;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Reads the parts of a generation, and reads each part only once while generations share it. */
+public final class PartReader {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final FileSetReader reader = new FileSetReader();
+    private Map<String, List<BoundDocument>> bound = new HashMap<>();
+
+    /**
+     * Reads a generation.
+     *
+     * @param listing its parts
+     * @param texts the content of parts by digest; parts of the last generation read need not be there
+     * @param reporter receives the faults
+     * @return the file set, or empty if there was any fault
+     */
+    public Optional<FileSet> read(Listing listing, Map<String, String> texts, ConfigurationErrorReporter reporter) {
+        Map<String, List<BoundDocument>> next = new HashMap<>();
+        List<BoundDocument> documents = new ArrayList<>();
+        listing.digests().forEach((name, digest) -> {
+            List<BoundDocument> part = bound.get(digest);
+            if (part == null) {
+                part = bind(new SourceFile(name, texts.get(digest)), reporter);
+            }
+            next.put(digest, part);
+            documents.addAll(part);
+        });
+        FileSet fileSet = new FileSetAssembler(reporter).assemble(documents);
+        if (reporter.hasErrors()) {
+            return Optional.empty();
+        }
+        bound = next;
+        return Optional.of(fileSet);
+    }
+
+    private List<BoundDocument> bind(SourceFile part, ConfigurationErrorReporter reporter) {
+        return reader.bind(documents(part, reporter), reporter).stream()
+                .map(BoundDocument::light)
+                .toList();
+    }
+
+    /**
+     * Reads the documents of a part, each one line of JSON.
+     *
+     * @param part the part
+     * @param reporter receives the faults
+     * @return the documents
+     */
+    static List<LocatedDocument> documents(SourceFile part, ConfigurationErrorReporter reporter) {
+        List<LocatedDocument> documents = new ArrayList<>();
+        int line = 0;
+        for (String text : part.text().split("\n")) {
+            line++;
+            if (!text.isEmpty() && !PartSplitter.SEPARATOR.startsWith(text)) {
+                try {
+                    JsonNode root = MAPPER.readTree(text);
+                    documents.add(new LocatedDocument(part.name(), root, Map.of("", line)));
+                } catch (JsonProcessingException e) {
+                    reporter.report(new ConfigurationError(part.name(), line, "-", e.getOriginalMessage()));
+                }
+            }
+        }
+        return documents;
+    }
+}
--- /dev/null
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
@@ -0,0 +1,82 @@
+package io.lagoonseam.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Reads the fields of one message in order. Whatever is malformed ends as an {@link IllegalArgumentException}. */
+final class MessageReader {
+
+    private final byte[] payload;
+    private final MessageUnpacker unpacker;
+
+    MessageReader(byte[] payload, int version) {
+        this.payload = payload;
+        this.unpacker = MessagePack.newDefaultUnpacker(payload);
+        long actual = number();
+        if (actual != version) {
+            throw new IllegalArgumentException("message version " + actual + " is not known");
+        }
+    }
+
+    /** A step that fails where the message is malformed. */
+    @FunctionalInterface
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+
+    private <T> T step(Step<T> step) {
+        try {
+            return step.run();
+        } catch (IOException | MessagePackException e) {
+            throw new IllegalArgumentException("malformed message", e);
+        }
+    }
+
+    private int checkedSize(int size) {
+        if (size < 0 || size > payload.length) {
+            throw new IllegalArgumentException("malformed message: size " + size);
+        }
+        return size;
+    }
+
+    long number() {
+        return step(unpacker::unpackLong);
+    }
+
+    boolean flag() {
+        return step(unpacker::unpackBoolean);
+    }
+
+    byte[] binary() {
+        return step(() -> unpacker.readPayload(checkedSize(unpacker.unpackBinaryHeader())));
+    }
+
+    List<String> list() {
+        return step(() -> {
+            int size = checkedSize(unpacker.unpackArrayHeader());
+            List<String> values = new ArrayList<>();
+            for (int index = 0; index < size; index++) {
+                values.add(unpacker.unpackString());
+            }
+            return values;
+        });
+    }
+
+    Map<String, String> map() {
+        return step(() -> {
+            int size = checkedSize(unpacker.unpackMapHeader());
+            Map<String, String> values = new HashMap<>();
+            for (int index = 0; index < size; index++) {
+                String key = unpacker.unpackString();
+                values.put(key, unpacker.unpackString());
+            }
+            return values;
+        });
+    }
+}
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -6,5 +6,17 @@
  */
 public final class MessageTypes {
 
+    /** Tells that a generation is in force at the sender: {@link ConfigurationMessages.Announcement}. */
+    public static final int CONFIGURATION_ANNOUNCEMENT = 30;
+
+    /** Asks for what is missing: {@link ConfigurationMessages.Pull}, answered by a delta. */
+    public static final int CONFIGURATION_PULL = 31;
+
+    /** Asks for parts by digest: {@link ConfigurationMessages.PartsRequest}, answered by parts. */
+    public static final int CONFIGURATION_PARTS = 32;
+
+    /** Reports the generation in force to a relay: {@link ConfigurationMessages.Report}, answered by its view. */
+    public static final int CONFIGURATION_REPORT = 33;
+
     private MessageTypes() {}
 }
