Run compared policies on one fleet: the burst experiment and its baselines

Cause: nothing measured admission and routing under load beside a baseline. Change: bench/experiment/policy runs a scenario (fleet shape, traffic with a burst, faults by timers) under the chosen policies, round robin + FIFO and least in flight + static priority; goodput counts tokens of whole answers in a window against the steps the engines ran. Queue wait, workspace and worker counters are in the metrics.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,12 +1,13 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import java.util.List;
 import java.util.Optional;
 
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of();
+    private static final List<Experiment> ALL = List.of(new BurstExperiment());
 
     private Experiments() {}
 
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/LeastInFlightSelector.java
@@ -0,0 +1,16 @@
+package io.lagoonseam.bench.experiment.policy;
+
+import io.lagoonseam.core.routing.WorkerSelector;
+import io.lagoonseam.core.routing.WorkerState;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Takes the worker with the fewest of this node's requests. */
+final class LeastInFlightSelector implements WorkerSelector {
+
+    @Override
+    public Optional<WorkerState> select(List<WorkerState> workers) {
+        return workers.stream().filter(WorkerState::hasRoom).min(Comparator.comparingInt(WorkerState::inFlight));
+    }
+}
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
@@ -42,13 +42,16 @@
     private final long seed;
     private final EventSink events;
     private final ServicePolicies policies;
+    private final EngineOptions.Builder engineOptions;
     private final Map<String, ModelEngineStandIn> engines = new LinkedHashMap<>();
     private final Map<String, PlainServiceStandIn> plainServices = new LinkedHashMap<>();
     private final List<EntryNode> nodes = new ArrayList<>();
     private PlatformStandIn platform;
     private FileSet fileSet;
 
-    private LocalFleet(Vertx vertx, long seed, EventSink events, ServicePolicies policies) {
+    private LocalFleet(
+            Vertx vertx, long seed, EventSink events, ServicePolicies policies, EngineOptions.Builder engineOptions) {
+        this.engineOptions = engineOptions;
         this.policies = policies;
         this.vertx = vertx;
         this.seed = seed;
@@ -80,7 +83,28 @@
      */
     public static LocalFleet start(
             List<SourceFile> files, int nodeCount, long seed, EventSink events, ServicePolicies policies) {
-        LocalFleet fleet = new LocalFleet(Vertx.vertx(), seed, events, policies);
+        return start(files, nodeCount, seed, events, policies, EngineOptions.builder());
+    }
+
+    /**
+     * Starts a fleet with policies and engines of its own.
+     *
+     * @param files the file set; the ports of its upstreams are replaced
+     * @param nodeCount the number of entry nodes
+     * @param seed the seed of all random choices
+     * @param events the sink of numbered events
+     * @param policies the policies of each service
+     * @param engineOptions how the engines behave; seed, models and fencing are set by the fleet
+     * @return the running fleet
+     */
+    public static LocalFleet start(
+            List<SourceFile> files,
+            int nodeCount,
+            long seed,
+            EventSink events,
+            ServicePolicies policies,
+            EngineOptions.Builder engineOptions) {
+        LocalFleet fleet = new LocalFleet(Vertx.vertx(), seed, events, policies, engineOptions);
         try {
             fleet.startAll(files, nodeCount);
         } catch (RuntimeException e) {
@@ -121,7 +145,7 @@
             plainServices.put(upstream.name(), plain);
             standIn = plain;
         } else {
-            ModelEngineStandIn engine = new ModelEngineStandIn(EngineOptions.builder()
+            ModelEngineStandIn engine = new ModelEngineStandIn(engineOptions
                     .seed(seed)
                     .models(modelsOf(service))
                     .checksFencing(service.checksFencing())
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/ClassProfile.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/ClassProfile.java
@@ -13,6 +13,7 @@
  * @param promptChars the length of prompts
  * @param maxTokens the limit of answers
  * @param keyed whether requests carry an idempotency key
+ * @param burst the time in which the class sends more
  */
 public record ClassProfile(
         String requestClass,
@@ -22,7 +23,8 @@
         String path,
         int promptChars,
         int maxTokens,
-        boolean keyed) {
+        boolean keyed,
+        RateBurst burst) {
 
     /** Copies the list. */
     public ClassProfile {
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
@@ -17,7 +17,9 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
@@ -92,7 +94,9 @@
         }
 
         private void scheduleNext() {
-            arrivalMillis += -Math.log(1 - random.nextDouble()) * 1_000 / classProfile.requestsPerSecond();
+            do {
+                arrivalMillis += drawGapMillis();
+            } while (isThinned());
             if (arrivalMillis >= profile.durationMillis()) {
                 arrivalsRunning--;
                 finishIfIdle();
@@ -102,6 +106,19 @@
             vertx.setTimer(Math.max(1, delayMillis), timer -> arrive());
         }
 
+        /** Draws at the highest rate of the class; outside its burst the surplus is thinned out. */
+        private double drawGapMillis() {
+            double highestRate =
+                    classProfile.requestsPerSecond() * classProfile.burst().highestFactor();
+            return -Math.log(1 - random.nextDouble()) * 1_000 / highestRate;
+        }
+
+        private boolean isThinned() {
+            RateBurst burst = classProfile.burst();
+            double kept = burst.factorAt(arrivalMillis) / burst.highestFactor();
+            return arrivalMillis < profile.durationMillis() && kept < 1 && random.nextDouble() >= kept;
+        }
+
         private void arrive() {
             number++;
             String key =
@@ -165,6 +182,7 @@
         private final long startNanos;
         private final StringBuilder pending = new StringBuilder();
         private final StringBuilder text = new StringBuilder();
+        private final Map<Long, Integer> tokensBySlot = new HashMap<>();
         private int tokens;
         private long firstTokenNanos;
         private boolean done;
@@ -238,6 +256,7 @@
                     firstTokenNanos = System.nanoTime();
                 }
                 tokens++;
+                tokensBySlot.merge(TrafficReport.slot(elapsedMillis()), 1, Integer::sum);
                 text.append(delta.getString("content"));
             }
         }
@@ -256,6 +275,7 @@
             long firstMillis = TimeUnit.NANOSECONDS.toMillis(firstTokenNanos - startNanos);
             double betweenMillis = tokens < 2 ? 0 : (System.nanoTime() - firstTokenNanos) / 1e6 / (tokens - 1);
             classReport.answered(firstMillis, betweenMillis, attained(firstMillis, betweenMillis), tokens);
+            report.wholeAnswer(tokensBySlot);
             ended();
         }
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficProfile.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficProfile.java
@@ -48,6 +48,7 @@
                 item.path("path").asText(""),
                 item.path("promptChars").asInt(0),
                 item.path("maxTokens").asInt(Integer.MAX_VALUE),
-                item.path("keyed").asBoolean(false));
+                item.path("keyed").asBoolean(false),
+                RateBurst.NONE);
     }
 }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficReport.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficReport.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 
 /** What was seen of all classes. */
 public final class TrafficReport {
@@ -11,12 +13,36 @@
     private static final double P50 = 50;
     private static final double P95 = 95;
 
+    private static final long SLOT_MILLIS = 100;
+
     private final Map<String, ClassReport> classes = new LinkedHashMap<>();
+    private final NavigableMap<Long, Long> tokensBySlot = new TreeMap<>();
 
     ClassReport ofClass(String name) {
         return classes.computeIfAbsent(name, unknown -> new ClassReport());
     }
 
+    static long slot(long elapsedMillis) {
+        return elapsedMillis / SLOT_MILLIS;
+    }
+
+    void wholeAnswer(Map<Long, Integer> answerTokensBySlot) {
+        answerTokensBySlot.forEach((slot, tokens) -> tokensBySlot.merge(slot, (long) tokens, Long::sum));
+    }
+
+    /**
+     * Returns the tokens of whole answers that came within a time.
+     *
+     * @param startMillis its start, from the start of the traffic, a multiple of 100
+     * @param endMillis its end, a multiple of 100
+     * @return tokens
+     */
+    public long tokensBetween(long startMillis, long endMillis) {
+        return tokensBySlot.subMap(slot(startMillis), slot(endMillis)).values().stream()
+                .mapToLong(Long::longValue)
+                .sum();
+    }
+
     /**
      * Returns the reports of the classes.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -163,18 +163,25 @@
         dispatcher.invariants().check(Invariant.NOT_RUN_IS_TRUE, truthful, ticket.id());
         markEnded();
         releaseWorker();
-        dispatcher.metrics().refused(ticket.requestClass().name(), refusal);
+        dispatcher.metrics().refused(ticket, refusal);
         sink.refused(refusal);
     }
 
     final void endWithAnswer(long firstTokenMillis, int tokens) {
+        String workerName = worker == null ? BoundedNames.OTHER : worker.name();
         markEnded();
         releaseWorker();
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
                 .metrics()
                 .answered(new RequestOutcome(
-                        ticket.requestClass(), ticket.serviceLevel(), firstTokenMillis, totalMillis, tokens));
+                        ticket.requestClass(),
+                        ticket.workspace(),
+                        workerName,
+                        ticket.serviceLevel(),
+                        firstTokenMillis,
+                        totalMillis,
+                        tokens));
     }
 
     private void markEnded() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -76,7 +76,11 @@
 
     private ServiceDispatcher newService() {
         return new ServiceDispatcher(
-                policies.admission().get(), policies.selector().apply(new Random(random.nextLong())), time, invariants);
+                policies.admission().get(),
+                policies.selector().apply(new Random(random.nextLong())),
+                time,
+                invariants,
+                metrics);
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/RequestOutcome.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/RequestOutcome.java
@@ -7,13 +7,21 @@
  * What is measured of one request that was answered.
  *
  * @param requestClass its class
+ * @param workspace its workspace
+ * @param worker the worker that ended it
  * @param serviceLevel the targets of its class
  * @param firstTokenMillis from arrival to the first token, or to the whole answer of a plain service
  * @param totalMillis from arrival to the end of the answer
  * @param tokens the tokens of the answer, 0 for a plain service
  */
 public record RequestOutcome(
-        RequestClass requestClass, ServiceLevel serviceLevel, long firstTokenMillis, long totalMillis, int tokens) {
+        RequestClass requestClass,
+        String workspace,
+        String worker,
+        ServiceLevel serviceLevel,
+        long firstTokenMillis,
+        long totalMillis,
+        int tokens) {
 
     /**
      * Returns the mean time between tokens.
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -34,9 +34,15 @@
     private final WorkerSelector selector;
     private final TimeSource time;
     private final InvariantMonitor invariants;
+    private final RouterMetrics metrics;
 
     ServiceDispatcher(
-            AdmissionController admission, WorkerSelector selector, TimeSource time, InvariantMonitor invariants) {
+            AdmissionController admission,
+            WorkerSelector selector,
+            TimeSource time,
+            InvariantMonitor invariants,
+            RouterMetrics metrics) {
+        this.metrics = metrics;
         this.admission = admission;
         this.selector = selector;
         this.time = time;
@@ -161,6 +167,8 @@
             WorkerEntry worker = choose(request, nowMillis);
             worker.inFlight++;
             invariants.check(Invariant.LEAVING_GETS_NO_WORK, !worker.leaving, worker.upstream.name());
+            long waitMillis = nowMillis - next.get().arrivalMillis();
+            metrics.started(next.get(), worker.upstream.name(), waitMillis);
             assignments.add(new Assignment(request, worker.upstream));
         }
     }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/engine/ModelEngineStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/engine/ModelEngineStandIn.java
@@ -35,6 +35,7 @@
     private HttpClient weightClient;
     private JsonObject reportedLoad = new JsonObject().put("running", 0).put("waiting", 0);
     private long arrivals;
+    private long steps;
     private long generatedTokens;
     private long cancelledTokens;
     private long abandonedTokens;
@@ -128,6 +129,7 @@
                 .put("cancelledTokens", cancelledTokens)
                 .put("abandonedTokens", abandonedTokens)
                 .put("arrivals", arrivals)
+                .put("steps", steps)
                 .put("running", scheduler.runningCount())
                 .put("waiting", scheduler.waitingCount());
     }
@@ -153,6 +155,7 @@
     }
 
     private void step() {
+        steps++;
         for (EngineStream stream : scheduler.step()) {
             generatedTokens++;
             send(stream, stream.generatedTokens - 1);
