--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficProfile.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficProfile.java
@@ -48,7 +48,6 @@
                 item.path("path").asText(""),
                 item.path("promptChars").asInt(0),
                 item.path("maxTokens").asInt(Integer.MAX_VALUE),
-                item.path("keyed").asBoolean(false),
-                RateBurst.NONE);
+                item.path("keyed").asBoolean(false));
     }
 }
