Drop decisions that come after the end of a node

Cause: a call to the platform that was open when a node ended came back to threads that were gone, and the refusal was logged as an unhandled error.

Change: the decision threads discard what comes after their end.

Conclusion: the end of a node is quiet.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -8,9 +8,7 @@
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of(
-            new BurstExperiment(),
-            new RouterCostExperiment());
+    private static final List<Experiment> ALL = List.of(new BurstExperiment(), new RouterCostExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -36,7 +36,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 
@@ -127,13 +129,21 @@
                 settings.seed());
     }
 
+    /** Decisions that come after the end of the node are dropped, as a crash would drop them. */
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
         AtomicInteger number = new AtomicInteger();
-        return Executors.newFixedThreadPool(settings.workerThreads(), task -> {
-            Thread thread = new Thread(task, settings.nodeId() + "-decision-" + number.incrementAndGet());
-            thread.setDaemon(true);
-            return thread;
-        });
+        return new ThreadPoolExecutor(
+                settings.workerThreads(),
+                settings.workerThreads(),
+                0,
+                TimeUnit.SECONDS,
+                new LinkedBlockingQueue<>(),
+                task -> {
+                    Thread thread = new Thread(task, settings.nodeId() + "-decision-" + number.incrementAndGet());
+                    thread.setDaemon(true);
+                    return thread;
+                },
+                new ThreadPoolExecutor.DiscardPolicy());
     }
 
     /**
