--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,13 +1,14 @@
 package io.lagoonseam.bench.experiment;
 
 import io.lagoonseam.bench.cost.RouterCostExperiment;
+import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import java.util.List;
 import java.util.Optional;
 
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of(new RouterCostExperiment());
+    private static final List<Experiment> ALL = List.of(new BurstExperiment(), new RouterCostExperiment());
 
     private Experiments() {}
 
