--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -22,6 +22,7 @@
 import io.lagoonseam.entry.dispatch.ServicePolicies;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
+import io.lagoonseam.entry.placement.NodePlacement;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.platform.SingleWriteOperationJournal;
 import io.lagoonseam.entry.settings.EntrySettings;
@@ -68,6 +69,7 @@
     private final PeerLayer peers;
     private final Dispatcher dispatcher;
     private final ConfigurationFollower follower;
+    private final NodePlacement placement;
     private final List<Long> timers = new ArrayList<>();
     private volatile State state = State.SERVING;
     private HttpServer callerServer;
@@ -113,6 +115,10 @@
                 events,
                 policies,
                 settings.seed()));
+        this.placement = new NodePlacement(
+                new NodePlacement.Environment(
+                        vertx, settings, platform, peers.members(), peers.transport(), configuration, time, events),
+                decisions);
         this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
     }
 
@@ -152,7 +158,8 @@
      * @return completes when callers and operators are served
      */
     public Future<Void> start() {
-        CallerRoutes callers = new CallerRoutes(configuration, dispatcher, time, () -> state != State.REFUSING);
+        CallerRoutes callers = new CallerRoutes(
+                configuration, dispatcher, time, () -> state != State.REFUSING, placement::recordDemand);
         OperatorRoutes operators =
                 new OperatorRoutes(settings, configuration, dispatcher, invariants, registry, this::isReady);
         return listen(callers.router(vertx, settings.bodyLimitBytes()), settings.callers())
@@ -170,6 +177,7 @@
 
     private void started() {
         follower.start();
+        placement.start();
         timers.add(vertx.setPeriodic(TICK_MILLIS, timer -> dispatcher.tick()));
         timers.add(vertx.setPeriodic(LOAD_POLL_MILLIS, timer -> dispatcher.pollLoad()));
         timers.add(vertx.setPeriodic(VM_POLL_MILLIS, timer -> pollVms()));
@@ -273,7 +281,7 @@
                 state = State.REFUSING;
                 drain(drained, time.monotonicMillis() + settings.stopDeadlineMillis());
             });
-            stopping = drained.future().compose(nothing -> close());
+            stopping = placement.handOver().compose(nothing -> drained.future()).compose(nothing -> close());
         }
         return stopping;
     }
@@ -305,6 +313,7 @@
 
     private Future<Void> close() {
         follower.stop();
+        placement.stop();
         timers.forEach(vertx::cancelTimer);
         return callerServer
                 .close()
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
@@ -36,6 +36,7 @@
 import java.util.TreeSet;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /** The routes of the callers' interface. */
 public final class CallerRoutes {
@@ -53,6 +54,7 @@
     private final Dispatcher dispatcher;
     private final TimeSource time;
     private final BooleanSupplier acceptsRequests;
+    private final Consumer<String> modelDemand;
 
     /**
      * Creates the routes.
@@ -61,16 +63,19 @@
      * @param dispatcher what runs the requests
      * @param time the clocks
      * @param acceptsRequests whether the node takes new requests
+     * @param modelDemand hears the model of each generating request
      */
     public CallerRoutes(
             ActiveConfiguration configuration,
             Dispatcher dispatcher,
             TimeSource time,
-            BooleanSupplier acceptsRequests) {
+            BooleanSupplier acceptsRequests,
+            Consumer<String> modelDemand) {
         this.configuration = configuration;
         this.dispatcher = dispatcher;
         this.time = time;
         this.acceptsRequests = acceptsRequests;
+        this.modelDemand = modelDemand;
     }
 
     /** A handler that may refuse. */
@@ -174,6 +179,7 @@
         }
         RequestClass requestClass = classify(context, fileSet, workspace, model.service(), modelName);
         Ticket ticket = ticket(context, fileSet, workspace, requestClass);
+        modelDemand.accept(modelName);
         boolean streamed = body.getBoolean("stream", false);
         AnswerSink sink = streamed
                 ? new StreamedAnswerWriter(context.response(), ticket.id(), modelName)
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/DocumentBinder.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/DocumentBinder.java
@@ -157,7 +157,9 @@
         return new Model(
                 root.get("name").asText(),
                 root.get("service").asText(),
-                root.get("version").asText());
+                root.get("version").asText(),
+                root.path("leastWorkers").asInt(0),
+                root.path("mostWorkers").asInt(Integer.MAX_VALUE));
     }
 
     private static Limits limits(JsonNode root) {
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/engine/EngineOrders.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/engine/EngineOrders.java
@@ -82,6 +82,12 @@
         return held != null && "ready".equals(held.state) && "serve".equals(role);
     }
 
+    JsonArray readyModels() {
+        JsonArray ready = new JsonArray();
+        models.keySet().stream().filter(this::isReady).forEach(ready::add);
+        return ready;
+    }
+
     JsonObject state() {
         JsonArray list = new JsonArray();
         for (String name : new ArrayList<>(models.keySet())) {
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/engine/ModelEngineStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/engine/ModelEngineStandIn.java
@@ -83,7 +83,7 @@
         router.get("/cache/events").handler(this::cacheEvents);
         router.post("/kv/export").handler(this::exportKv);
         router.post("/kv/import").handler(this::importKv);
-        router.get("/orders").handler(context -> sendJson(context, 200, orders.state()));
+        router.get("/orders").handler(context -> sendJson(context, 200, orderState()));
         router.post("/orders").handler(this::order);
     }
 
@@ -148,8 +148,10 @@
 
     private void scheduleReport() {
         vertx.setTimer(Math.max(1, reportLagMillis), timer -> {
-            reportedLoad =
-                    new JsonObject().put("running", scheduler.runningCount()).put("waiting", scheduler.waitingCount());
+            reportedLoad = new JsonObject()
+                    .put("running", scheduler.runningCount())
+                    .put("waiting", scheduler.waitingCount())
+                    .put("models", orders.readyModels());
             scheduleReport();
         });
     }
@@ -347,7 +349,11 @@
         for (int index = 0; index < toLoad.size(); index++) {
             load(toLoad.getJsonObject(index));
         }
-        sendJson(context, 200, orders.state());
+        sendJson(context, 200, orderState());
+    }
+
+    private JsonObject orderState() {
+        return orders.state().put("running", scheduler.runningCount() + scheduler.waitingCount());
     }
 
     private void load(JsonObject model) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -20,5 +20,8 @@
     /** Reports the generation in force to a relay: {@link ConfigurationMessages.Report}, answered by its view. */
     public static final int CONFIGURATION_REPORT = 33;
 
+    /** Asks a node for the demand it has seen by model. */
+    public static final int PLACEMENT_DEMAND = 60;
+
     private MessageTypes() {}
 }
