--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/configuration/FileSet.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/configuration/FileSet.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** A whole set of operators' files as immutable data, indexed by name. */
@@ -119,6 +120,30 @@
         return retentions;
     }
 
+    private List<Object> fields() {
+        // The order of the classes counts: the first that fits takes a request.
+        return List.of(
+                workspaces,
+                keys,
+                List.copyOf(classes.values()),
+                serviceLevels,
+                services,
+                upstreams,
+                models,
+                limits,
+                retentions);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FileSet fileSet && fields().equals(fileSet.fields());
+    }
+
+    @Override
+    public int hashCode() {
+        return fields().hashCode();
+    }
+
     /** Builds a {@link FileSet}. A name that is added twice within a kind is refused. */
     public static final class Builder {
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationStore.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationStore.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.platform.ObjectStore;
 import io.lagoonseam.core.platform.ReadResult;
+import io.lagoonseam.core.time.Timers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +26,7 @@
     private static final int PARALLEL_READS = 64;
 
     private final ObjectStore store;
+    private final Timers timers;
 
     /**
      * Creates a store.
@@ -32,7 +34,18 @@
      * @param store the platform
      */
     public ConfigurationStore(ObjectStore store) {
+        this(store, Timers.SYSTEM);
+    }
+
+    /**
+     * Creates a store with timers of its own.
+     *
+     * @param store the platform
+     * @param timers what delays a repeated call
+     */
+    public ConfigurationStore(ObjectStore store, Timers timers) {
         this.store = store;
+        this.timers = timers;
     }
 
     /**
@@ -179,7 +192,7 @@
      * @return whether it is current
      */
     public CompletionStage<ApplyResult> apply(List<SourceFile> files, String author, String reason, long nowMillis) {
-        return new ConfigurationWriter(store, this).apply(files, author, reason, nowMillis, Optional.empty());
+        return new ConfigurationWriter(store, this, timers).apply(files, author, reason, nowMillis, Optional.empty());
     }
 
     /**
@@ -194,7 +207,7 @@
      */
     public CompletionStage<ApplyResult> applyOn(
             List<SourceFile> files, String author, String reason, long nowMillis, long baseGeneration) {
-        return new ConfigurationWriter(store, this)
+        return new ConfigurationWriter(store, this, timers)
                 .apply(files, author, reason, nowMillis, Optional.of(baseGeneration));
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.core.platform.ObjectStore;
 import io.lagoonseam.core.platform.WriteCondition;
 import io.lagoonseam.core.platform.WriteResult;
+import io.lagoonseam.core.time.Timers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +14,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -31,9 +31,11 @@
     private final ObjectStore store;
     private final ConfigurationStore configurations;
     private final ConfigurationHistory history;
+    private final Timers timers;
 
-    ConfigurationWriter(ObjectStore store, ConfigurationStore configurations) {
+    ConfigurationWriter(ObjectStore store, ConfigurationStore configurations, Timers timers) {
         this.store = store;
+        this.timers = timers;
         this.configurations = configurations;
         this.history = new ConfigurationHistory(configurations);
     }
@@ -174,11 +176,11 @@
         });
     }
 
-    private static <T> CompletionStage<T> later(int attemptsLeft, Supplier<CompletionStage<T>> action) {
+    private <T> CompletionStage<T> later(int attemptsLeft, Supplier<CompletionStage<T>> action) {
         long delayMillis = RETRY_BASE_MILLIS << ATTEMPTS - attemptsLeft;
-        return CompletableFuture.supplyAsync(
-                        action, CompletableFuture.delayedExecutor(delayMillis, TimeUnit.MILLISECONDS))
-                .thenCompose(stage -> stage);
+        CompletableFuture<Void> due = new CompletableFuture<>();
+        timers.schedule(delayMillis, () -> due.complete(null));
+        return due.thenCompose(nothing -> action.get());
     }
 
     private CompletionStage<ApplyResult> writeManifest(Prepared prepared, int attempts, boolean mayBeApplied) {
