--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -6,6 +6,9 @@
  */
 public final class MessageTypes {
 
+    /** Upstreams that are leaving, as one node read or heard. */
+    public static final int UPSTREAM_SIGNS = 5;
+
     /** Tells that a generation is in force at the sender: {@link ConfigurationMessages.Announcement}. */
     public static final int CONFIGURATION_ANNOUNCEMENT = 30;
 
