--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -1,9 +1,12 @@
 package io.lagoonseam.cli;
 
 import io.lagoonseam.cli.config.ConfigApplyCommand;
+import io.lagoonseam.cli.config.ConfigDiffCommand;
 import io.lagoonseam.cli.config.ConfigHashKeyCommand;
+import io.lagoonseam.cli.config.ConfigHistoryCommand;
 import io.lagoonseam.cli.config.ConfigShowCommand;
 import io.lagoonseam.cli.config.ConfigValidateCommand;
+import io.lagoonseam.cli.config.ConfigWatchCommand;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
@@ -26,7 +29,10 @@
             new EntryCommand(),
             new ConfigValidateCommand(),
             new ConfigApplyCommand(),
+            new ConfigDiffCommand(),
             new ConfigShowCommand(),
+            new ConfigHistoryCommand(),
+            new ConfigWatchCommand(),
             new ConfigHashKeyCommand(),
             new StandInCommand(),
             new LoadCommand(),
--- /dev/null
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/InForceWait.java
@@ -0,0 +1,76 @@
+package io.lagoonseam.cli.config;
+
+import io.lagoonseam.core.platform.ListResult;
+import io.lagoonseam.core.platform.ObjectVersion;
+import io.lagoonseam.core.platform.ReadResult;
+import io.lagoonseam.entry.configuration.InForceStatus;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Waits until every data centre says that a generation is in force, or tells which do not. */
+final class InForceWait {
+
+    private static final long POLL_MILLIS = 250;
+
+    private final PlatformSession session;
+    private final PrintStream out;
+
+    InForceWait(PlatformSession session, PrintStream out) {
+        this.session = session;
+        this.out = out;
+    }
+
+    void await(long generation, long waitSeconds) throws TimeoutException, InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(waitSeconds);
+        Optional<List<InForceStatus>> statuses = read();
+        while (!confirmed(statuses, generation) && System.nanoTime() < deadlineNanos) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+            statuses = read();
+        }
+        report(statuses, generation);
+    }
+
+    private static boolean confirmed(Optional<List<InForceStatus>> statuses, long generation) {
+        return statuses.isPresent() && statuses.get().stream().allMatch(status -> status.confirms(generation));
+    }
+
+    private void report(Optional<List<InForceStatus>> statuses, long generation) {
+        if (statuses.isEmpty()) {
+            out.println("the platform does not tell where it is in force");
+        } else if (statuses.get().isEmpty()) {
+            out.println("no data centre reports yet");
+        } else if (confirmed(statuses, generation)) {
+            out.println("in force in all " + statuses.get().size() + " data centres");
+        } else {
+            statuses.get().stream()
+                    .filter(status -> !status.confirms(generation))
+                    .forEach(status -> out.printf(
+                            "not confirmed: %s is at generation %d of %d members%s%n",
+                            status.dataCentre(),
+                            status.generation(),
+                            status.members(),
+                            status.missing().isEmpty() ? "" : ", without a report from " + status.missing()));
+        }
+    }
+
+    private Optional<List<InForceStatus>> read() throws TimeoutException {
+        ListResult listed = session.await(session.store().list(InForceStatus.PREFIX));
+        if (!(listed instanceof ListResult.Listed found)) {
+            return Optional.empty();
+        }
+        List<InForceStatus> statuses = new ArrayList<>();
+        for (ObjectVersion object : found.objects()) {
+            ReadResult read = session.await(session.store().read(object.name()));
+            if (read instanceof ReadResult.Found value) {
+                statuses.add(InForceStatus.parse(value.value()));
+            } else if (read instanceof ReadResult.Unavailable) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(statuses);
+    }
+}
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/PlatformSession.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/PlatformSession.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.cli.config;
 
 import io.lagoonseam.cli.CommandOptions;
+import io.lagoonseam.core.platform.ObjectStore;
 import io.lagoonseam.entry.configuration.ConfigurationStore;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.vertx.core.Future;
@@ -17,11 +18,12 @@
     private static final long TIMEOUT_SECONDS = 30;
 
     private final Vertx vertx = Vertx.vertx();
+    private final ObjectStore store;
     private final ConfigurationStore configurations;
 
     PlatformSession(CommandLine line) {
-        PlatformClient platform = new PlatformClient(vertx, line.getOptionValue("platform"));
-        this.configurations = new ConfigurationStore(platform);
+        this.store = new PlatformClient(vertx, line.getOptionValue("platform"));
+        this.configurations = new ConfigurationStore(store);
     }
 
     static Option option() {
@@ -32,6 +34,10 @@
         return configurations;
     }
 
+    ObjectStore store() {
+        return store;
+    }
+
     <T> T await(CompletionStage<T> stage) throws TimeoutException {
         return Future.fromCompletionStage(stage).await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -5,10 +5,6 @@
 import io.lagoonseam.core.audit.EventSink;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
-import io.lagoonseam.core.membership.Member;
-import io.lagoonseam.core.membership.MemberState;
-import io.lagoonseam.core.membership.SoleMemberDirectory;
-import io.lagoonseam.core.peer.NoopPeerTransport;
 import io.lagoonseam.core.platform.VmEntry;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.TimeSource;
@@ -16,6 +12,7 @@
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
 import io.lagoonseam.entry.configuration.FollowerEnvironment;
+import io.lagoonseam.entry.configuration.GenerationPiggyback;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
@@ -112,14 +109,14 @@
                 policies,
                 settings.seed()));
         this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
+        this.peers.piggybacks().add(new GenerationPiggyback(follower));
     }
 
     private FollowerEnvironment followerEnvironment() {
-        Member self = new Member(settings.nodeId(), settings.dataCentre(), "", 0, 0, MemberState.ALIVE);
         return new FollowerEnvironment(
                 platform,
-                new NoopPeerTransport(),
-                new SoleMemberDirectory(self),
+                peers.transport(),
+                peers.members(),
                 (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
                 decisions,
                 time,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationFollower.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.configuration;
 
 import io.lagoonseam.core.configuration.FileSet;
+import io.lagoonseam.core.configuration.Generation;
 import io.lagoonseam.core.configuration.RelayOrder;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.wire.ConfigurationMessages.Report;
@@ -26,6 +27,7 @@
     private static final long PEERS_FIRST_MILLIS = 1_000;
 
     private final FollowerEnvironment environment;
+    private final ActiveConfiguration active;
     private final Executor serial;
     private final HeldConfiguration held;
     private final PlatformSource platform;
@@ -49,6 +51,7 @@
     public ConfigurationFollower(
             FollowerEnvironment environment, ActiveConfiguration active, Consumer<FileSet> listener) {
         this.environment = environment;
+        this.active = active;
         this.serial = new SerialExecutor(environment.executor());
         this.held = new HeldConfiguration(active, environment.events(), listener);
         this.platform = new PlatformSource(environment, serial, held, this::accepted);
@@ -88,6 +91,15 @@
         return caughtUp;
     }
 
+    /**
+     * Returns the generation in force here.
+     *
+     * @return its number, 0 for none
+     */
+    public long generation() {
+        return active.current().map(Generation::number).orElse(0L);
+    }
+
     /**
      * Takes note of a generation that another node mentioned.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/InForceSummary.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/InForceSummary.java
@@ -12,6 +12,7 @@
 
     private static final long WRITE_INTERVAL_MILLIS = 500;
     private static final long REFRESH_MILLIS = 10_000;
+    private static final long SETTLE_MILLIS = 2_000;
     private static final long REPORT_AGE_MILLIS = 5_000;
 
     private final FollowerEnvironment environment;
@@ -42,7 +43,8 @@
             actingSinceMillis = nowMillis;
         }
         InForceStatus status = status(nowMillis);
-        boolean settled = status.missing().isEmpty() || nowMillis - actingSinceMillis > REPORT_AGE_MILLIS;
+        long settleMillis = status.missing().isEmpty() ? SETTLE_MILLIS : REPORT_AGE_MILLIS;
+        boolean settled = nowMillis - actingSinceMillis >= settleMillis;
         if (settled && isDue(status, nowMillis)) {
             written = status;
             writtenAtMillis = nowMillis;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/SerialExecutor.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/SerialExecutor.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 
 /** Runs tasks one at a time, in the order of their arrival, on another executor. */
 final class SerialExecutor implements Executor {
@@ -24,7 +25,14 @@
             }
             running = true;
         }
-        executor.execute(this::drain);
+        try {
+            executor.execute(this::drain);
+        } catch (RejectedExecutionException e) {
+            // The node has ended; what is left has no effect any more.
+            synchronized (tasks) {
+                tasks.clear();
+            }
+        }
     }
 
     private void drain() {
