Audit trail, explain, fleet view and the propagation experiment

Cause: nothing could be read back about a request's decisions, a change's cause or the fleet; the writer read the whole base for each change. Change: bounded trails of events and of requests, read over the operators' interface; 'explain' and a fuller 'status'; the writer reads only the parts that a change replaces; experiment propagation. PeerLayerTest.numbersRideOnProbes used the configuration's key, which the product now takes itself; it uses a key of its own and asserts the same six pairs and values.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,15 +2,15 @@
 
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
 
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of(
-            new BurstExperiment(),
-            new RouterCostExperiment());
+    private static final List<Experiment> ALL =
+            List.of(new BurstExperiment(), new PropagationExperiment(), new RouterCostExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -38,7 +38,8 @@
             new LoadCommand(),
             new ExperimentCommand(),
             new DemoCommand(),
-            new StatusCommand());
+            new StatusCommand(),
+            new ExplainCommand());
 
     private final PrintStream out;
     private final PrintStream err;
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/StatusCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/StatusCommand.java
@@ -15,7 +15,7 @@
 
     @Override
     public String summary() {
-        return "Print what a node says of itself: readiness, generation in force, invariants";
+        return "Print what a node says of itself and of the fleet: members, roles, generation by data centre";
     }
 
     @Override
@@ -26,8 +26,10 @@
 
     @Override
     public int run(CommandLine line, PrintStream out, PrintStream err) throws Exception {
-        String body = HttpReader.read(line.getOptionValue("node") + "/status");
-        out.println(new JsonObject(body).encodePrettily());
+        String node = line.getOptionValue("node");
+        JsonObject status = new JsonObject(HttpReader.read(node + "/status"));
+        status.put("fleet", new JsonObject(HttpReader.read(node + "/fleet")));
+        out.println(status.encodePrettily());
         return ExitCode.DONE;
     }
 }
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/InForceWait.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/InForceWait.java
@@ -1,11 +1,8 @@
 package io.lagoonseam.cli.config;
 
-import io.lagoonseam.core.platform.ListResult;
-import io.lagoonseam.core.platform.ObjectVersion;
-import io.lagoonseam.core.platform.ReadResult;
+import io.lagoonseam.entry.configuration.InForceReader;
 import io.lagoonseam.entry.configuration.InForceStatus;
 import java.io.PrintStream;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -58,19 +55,6 @@
     }
 
     private Optional<List<InForceStatus>> read() throws TimeoutException {
-        ListResult listed = session.await(session.store().list(InForceStatus.PREFIX));
-        if (!(listed instanceof ListResult.Listed found)) {
-            return Optional.empty();
-        }
-        List<InForceStatus> statuses = new ArrayList<>();
-        for (ObjectVersion object : found.objects()) {
-            ReadResult read = session.await(session.store().read(object.name()));
-            if (read instanceof ReadResult.Found value) {
-                statuses.add(InForceStatus.parse(value.value()));
-            } else if (read instanceof ReadResult.Unavailable) {
-                return Optional.empty();
-            }
-        }
-        return Optional.of(statuses);
+        return session.await(new InForceReader(session.store()).read());
     }
 }
--- a/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
+++ b/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
@@ -38,7 +38,8 @@
             {"load"},
             {"experiment"},
             {"demo"},
-            {"status"}
+            {"status"},
+            {"explain"}
         };
     }
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/lock/LockRank.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/lock/LockRank.java
@@ -15,5 +15,7 @@
     /** The limits of workspaces. */
     LIMITS,
     /** Retry budgets. */
-    RETRY
+    RETRY,
+    /** The trails of events and requests. */
+    TRAIL
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -1,8 +1,10 @@
 package io.lagoonseam.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.lagoonseam.core.audit.AuditTrail;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.platform.VmEntry;
@@ -13,10 +15,12 @@
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
 import io.lagoonseam.entry.configuration.FollowerEnvironment;
 import io.lagoonseam.entry.configuration.GenerationPiggyback;
+import io.lagoonseam.entry.configuration.InForceReader;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
+import io.lagoonseam.entry.operator.AuditRoutes;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
 import io.lagoonseam.entry.platform.PlatformClient;
@@ -53,6 +57,7 @@
 
     private final Vertx vertx;
     private final EntrySettings settings;
+    private final AuditTrail audit;
     private final EventSink events;
     private final TimeSource time = new SystemTimeSource();
     private final MetricRegistry registry = new MetricRegistry();
@@ -85,13 +90,14 @@
      *
      * @param vertx the Vert.x instance that it runs on
      * @param settings its settings
-     * @param events the sink of numbered events
+     * @param sink the sink of numbered events
      * @param policies the policies of each service
      */
-    public EntryNode(Vertx vertx, EntrySettings settings, EventSink events, ServicePolicies policies) {
+    public EntryNode(Vertx vertx, EntrySettings settings, EventSink sink, ServicePolicies policies) {
         this.vertx = vertx;
         this.settings = settings;
-        this.events = events;
+        this.audit = new AuditTrail(sink, time);
+        this.events = audit;
         this.invariants = new InvariantMonitor(events);
         this.configuration = new ActiveConfiguration(invariants);
         this.platform = new PlatformClient(vertx, settings.platformUrl());
@@ -108,10 +114,15 @@
                 events,
                 policies,
                 settings.seed()));
-        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, this::configure);
         this.peers.piggybacks().add(new GenerationPiggyback(follower));
     }
 
+    private void configure(FileSet fileSet) {
+        dispatcher.trail().generation(follower.generation());
+        dispatcher.configure(fileSet);
+    }
+
     private FollowerEnvironment followerEnvironment() {
         return new FollowerEnvironment(
                 platform,
@@ -144,13 +155,17 @@
                 new OperatorRoutes(settings, configuration, dispatcher, invariants, registry, this::isReady);
         return listen(callers.router(vertx, settings.bodyLimitBytes()), settings.callers())
                 .onSuccess(server -> callerServer = server)
-                .compose(server -> listen(operators.router(vertx), settings.operators()))
+                .compose(server -> listen(auditRoutes().addTo(operators.router(vertx)), settings.operators()))
                 .onSuccess(server -> operatorServer = server)
                 .compose(server -> peers.start())
                 .onSuccess(server -> started())
                 .mapEmpty();
     }
 
+    private AuditRoutes auditRoutes() {
+        return new AuditRoutes(audit, dispatcher.trail(), peers::allMembers, follower, new InForceReader(platform));
+    }
+
     private Future<HttpServer> listen(Router router, ListenAddress address) {
         return vertx.createHttpServer().requestHandler(router).listen(address.port(), address.host());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationFollower.java
@@ -100,6 +100,15 @@
         return active.current().map(Generation::number).orElse(0L);
     }
 
+    /**
+     * Returns whether this node watches the platform for its data centre.
+     *
+     * @return true while it has the role
+     */
+    public boolean isRelay() {
+        return platform.acting();
+    }
+
     /**
      * Takes note of a generation that another node mentioned.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -25,7 +26,7 @@
     private static final int ATTEMPTS = 6;
     private static final long RETRY_BASE_MILLIS = 20;
     private static final int PARALLEL_WRITES = 32;
-    private static final int CHANGES_PER_CHECKPOINT = 32;
+    private static final int CHANGES_PER_CHECKPOINT = 16;
     private static final int INLINE_LIMIT_BYTES = 200_000;
 
     private final ObjectStore store;
@@ -40,7 +41,7 @@
         this.history = new ConfigurationHistory(configurations);
     }
 
-    private record Base(Optional<ConfigurationStore.Current> current, Listing listing, List<SourceFile> parts) {
+    private record Base(Optional<ConfigurationStore.Current> current, Listing listing) {
 
         long generation() {
             return current.map(value -> value.manifest().generation()).orElse(0L);
@@ -64,47 +65,55 @@
                     return expected.isPresent() && expected.get() != generation
                             ? baseMoved(current, files, expected.get())
                             : readBase(current)
-                                    .thenCompose(base -> write(prepare(base, files, author, reason, nowMillis)));
+                                    .thenCompose(base -> prepare(base, files, author, reason, nowMillis))
+                                    .thenCompose(this::write);
                 })
                 .exceptionally(failure -> new ApplyResult.Failed(String.valueOf(failure.getMessage()), false));
     }
 
     private CompletionStage<Base> readBase(Optional<ConfigurationStore.Current> current) {
-        if (current.isEmpty()) {
-            return CompletableFuture.completedFuture(new Base(current, Listing.EMPTY, List.of()));
-        }
+        return current.isEmpty()
+                ? CompletableFuture.completedFuture(new Base(current, Listing.EMPTY))
+                : configurations.listing(current.get().manifest()).thenApply(listing -> new Base(current, listing));
+    }
+
+    private CompletionStage<Prepared> prepare(
+            Base base, List<SourceFile> files, String author, String reason, long nowMillis) {
+        ConfigurationParts parts = ConfigurationParts.of(files);
+        SortedMap<String, String> before = base.listing().digests();
+        Map<String, String> changed = new TreeMap<>(parts.listing().digests());
+        changed.entrySet().removeAll(before.entrySet());
+        Map<String, String> replaced = new TreeMap<>(before);
+        replaced.entrySet().removeAll(parts.listing().digests().entrySet());
         return configurations
-                .listing(current.get().manifest())
-                .thenCompose(listing ->
-                        configurations.parts(listing.digests()).thenApply(parts -> new Base(current, listing, parts)));
+                .parts(replaced)
+                .thenApply(old -> prepared(
+                        base, parts, changed, old, manifest(base, parts.listing(), author, reason, nowMillis)));
     }
 
-    private static Prepared prepare(Base base, List<SourceFile> files, String author, String reason, long nowMillis) {
-        List<SourceFile> parts = PartSplitter.split(files);
-        TreeMap<String, String> digests = new TreeMap<>();
+    private static Prepared prepared(
+            Base base,
+            ConfigurationParts parts,
+            Map<String, String> changed,
+            List<SourceFile> replaced,
+            Manifest manifest) {
         Map<String, String> texts = new TreeMap<>();
-        for (SourceFile part : parts) {
-            String digest = KeyHash.digest(part.text());
-            digests.put(part.name(), digest);
-            if (!base.listing().digests().containsValue(digest)) {
-                texts.put(digest, part.text());
-            }
-        }
-        Listing listing = new Listing(digests);
-        Manifest manifest = manifest(base, listing, author, reason, nowMillis);
-        Map<String, String> changed = new TreeMap<>(digests);
-        changed.entrySet().removeAll(base.listing().digests().entrySet());
+        List<SourceFile> fresh = new ArrayList<>();
+        changed.forEach((name, digest) -> {
+            texts.put(digest, parts.texts().get(digest));
+            fresh.add(new SourceFile(name, parts.texts().get(digest)));
+        });
         TreeSet<String> removed = new TreeSet<>(base.listing().digests().keySet());
-        removed.removeAll(digests.keySet());
+        removed.removeAll(parts.listing().digests().keySet());
         Change change = new Change(
                 manifest,
                 base.current().map(value -> value.manifest().link()).orElse(null),
                 changed,
                 List.copyOf(removed),
                 size(texts) <= INLINE_LIMIT_BYTES ? texts : Map.of(),
-                FileSetDifference.between(base.parts(), parts));
+                FileSetDifference.between(replaced, fresh));
         if (manifest.changesSince().isEmpty()) {
-            texts.put(manifest.checkpoint().digest(), listing.encode());
+            texts.put(manifest.checkpoint().digest(), parts.listing().encode());
         }
         return new Prepared(base, change, texts);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PlatformSource.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PlatformSource.java
@@ -30,7 +30,7 @@
     private final HeldConfiguration held;
     private final Runnable accepted;
     private final JitteredBackoff backoff;
-    private boolean acting;
+    private volatile boolean acting;
     private boolean looping;
     private boolean stopped;
     private int failures;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -4,10 +4,12 @@
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.core.routing.WorkerState;
 import io.lagoonseam.core.verdict.Refusal;
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
 import io.vertx.core.Context;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -25,6 +27,7 @@
     private final Context context;
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
+    private final RequestExplainer explainer;
     private Upstream worker;
     private boolean sent;
     private boolean ended;
@@ -34,6 +37,8 @@
         this.ticket = ticket;
         this.context = context;
         this.sink = sink;
+        this.explainer = new RequestExplainer(dispatcher.trail(), ticket, dispatcher.time());
+        explainer.classified();
     }
 
     /** Runs one attempt on the caller's context. */
@@ -52,6 +57,11 @@
         return excludedWorkers;
     }
 
+    @Override
+    public final void weighed(List<WorkerState> workers, String chosen) {
+        explainer.weighed(workers, chosen);
+    }
+
     final Dispatcher dispatcher() {
         return dispatcher;
     }
@@ -88,6 +98,7 @@
                 return;
             }
             worker = chosen;
+            explainer.attempt(chosen.name());
             attempt(chosen);
         });
     }
@@ -104,6 +115,7 @@
         }
         markEnded();
         dispatcher.record(EventCode.CALLER_GONE, ticket.id());
+        explainer.callerGone();
         dispatcher.decide(() -> service().cancel(ticket.id()));
         if (worker != null) {
             abandonAttempt(worker);
@@ -133,6 +145,7 @@
     }
 
     final boolean mayTryAgain(AttemptFailure failure) {
+        explainer.failed(failure);
         boolean safe = ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
         if (!safe) {
             return false;
@@ -164,6 +177,7 @@
         markEnded();
         releaseWorker();
         dispatcher.metrics().refused(ticket, refusal);
+        explainer.refused(refusal);
         sink.refused(refusal);
     }
 
@@ -171,6 +185,7 @@
         String workerName = worker == null ? BoundedNames.OTHER : worker.name();
         markEnded();
         releaseWorker();
+        explainer.answered(tokens);
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
                 .metrics()
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.audit.RequestTrail;
 import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.configuration.Service;
 import io.lagoonseam.core.configuration.Upstream;
@@ -34,6 +35,7 @@
     private final EventSink events;
     private final ServicePolicies policies;
     private final Random random;
+    private final RequestTrail trail = new RequestTrail();
     private final AtomicInteger inFlight = new AtomicInteger();
 
     /**
@@ -150,6 +152,15 @@
         return inFlight.get();
     }
 
+    /**
+     * Returns what was decided about the latest requests.
+     *
+     * @return the trail
+     */
+    public RequestTrail trail() {
+        return trail;
+    }
+
     ServiceDispatcher service(String name) {
         return services.computeIfAbsent(name, unknown -> newService());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/QueuedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/QueuedRequest.java
@@ -2,7 +2,9 @@
 
 import io.lagoonseam.core.admission.Ticket;
 import io.lagoonseam.core.configuration.Upstream;
+import io.lagoonseam.core.routing.WorkerState;
 import io.lagoonseam.core.verdict.Refusal;
+import java.util.List;
 import java.util.Set;
 
 /** A request that waits for a worker. Its methods are called on a decision thread without any lock held. */
@@ -22,6 +24,14 @@
      */
     Set<String> excludedWorkers();
 
+    /**
+     * Takes note of the workers that were weighed. Called with the service's lock held.
+     *
+     * @param workers the workers that could take the request
+     * @param chosen the name of the chosen one
+     */
+    void weighed(List<WorkerState> workers, String chosen);
+
     /**
      * Starts an attempt; the worker is held until it is released.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -193,7 +193,9 @@
                 }
             }
         }
-        WorkerState chosen = selector.select(untried.isEmpty() ? open : untried).orElseThrow();
+        List<WorkerState> weighed = untried.isEmpty() ? open : untried;
+        WorkerState chosen = selector.select(weighed).orElseThrow();
+        request.weighed(weighed, chosen.name());
         return workers.get(chosen.name());
     }
 
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/peer/PeerLayerTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/peer/PeerLayerTest.java
@@ -24,6 +24,7 @@
 
 public final class PeerLayerTest {
 
+    private static final int UNUSED_KEY = 99;
     private static final int ECHOED_TYPE = 19;
     private static final int UNKNOWN_TYPE = 18;
     private static final long TIMEOUT_MILLIS = 5_000;
@@ -141,7 +142,7 @@
             node.peers().piggybacks().add(new PiggybackSource() {
                 @Override
                 public int key() {
-                    return CONFIGURATION_GENERATION;
+                    return UNUSED_KEY;
                 }
 
                 @Override
