--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -4,6 +4,7 @@
 import io.lagoonseam.cli.config.ConfigDiffCommand;
 import io.lagoonseam.cli.config.ConfigHashKeyCommand;
 import io.lagoonseam.cli.config.ConfigHistoryCommand;
+import io.lagoonseam.cli.config.ConfigSchemaCommand;
 import io.lagoonseam.cli.config.ConfigShowCommand;
 import io.lagoonseam.cli.config.ConfigValidateCommand;
 import io.lagoonseam.cli.config.ConfigWatchCommand;
@@ -34,6 +35,7 @@
             new ConfigHistoryCommand(),
             new ConfigWatchCommand(),
             new ConfigHashKeyCommand(),
+            new ConfigSchemaCommand(),
             new StandInCommand(),
             new LoadCommand(),
             new ExperimentCommand(),
--- a/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
+++ b/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
@@ -34,6 +34,7 @@
             {"config history"},
             {"config watch"},
             {"config hash-key"},
+            {"config schema"},
             {"standin"},
             {"load"},
             {"experiment"},
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/configuration/FileSet.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/configuration/FileSet.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** A whole set of operators' files as immutable data, indexed by name. */
 public final class FileSet {
@@ -147,18 +148,38 @@
     /** Builds a {@link FileSet}. A name that is added twice within a kind is refused. */
     public static final class Builder {
 
-        private final Map<String, Workspace> workspaces = new LinkedHashMap<>();
-        private final Map<String, ApiKey> keys = new LinkedHashMap<>();
-        private final Map<String, RequestClass> classes = new LinkedHashMap<>();
-        private final Map<String, ServiceLevel> serviceLevels = new LinkedHashMap<>();
-        private final Map<String, Service> services = new LinkedHashMap<>();
-        private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
-        private final Map<String, Model> models = new LinkedHashMap<>();
-        private final Map<String, Limits> limits = new LinkedHashMap<>();
-        private final Map<String, Retention> retentions = new LinkedHashMap<>();
+        private Map<String, Workspace> workspaces = new LinkedHashMap<>();
+        private Map<String, ApiKey> keys = new LinkedHashMap<>();
+        private Map<String, RequestClass> classes = new LinkedHashMap<>();
+        private Map<String, ServiceLevel> serviceLevels = new LinkedHashMap<>();
+        private Map<String, Service> services = new LinkedHashMap<>();
+        private Map<String, Upstream> upstreams = new LinkedHashMap<>();
+        private Map<String, Model> models = new LinkedHashMap<>();
+        private Map<String, Limits> limits = new LinkedHashMap<>();
+        private Map<String, Retention> retentions = new LinkedHashMap<>();
 
         private Builder() {}
 
+        /**
+         * Shares the documents of some kinds with another file set. Nothing may be added to these kinds.
+         *
+         * @param base the other file set
+         * @param isShared tells by the name of a kind whether it is shared
+         * @return this builder
+         */
+        public Builder share(FileSet base, Predicate<String> isShared) {
+            workspaces = isShared.test("Workspace") ? base.workspaces : workspaces;
+            keys = isShared.test("Key") ? base.keys : keys;
+            classes = isShared.test("RequestClass") ? base.classes : classes;
+            serviceLevels = isShared.test("ServiceLevel") ? base.serviceLevels : serviceLevels;
+            services = isShared.test("Service") ? base.services : services;
+            upstreams = isShared.test("Upstream") ? base.upstreams : upstreams;
+            models = isShared.test("Model") ? base.models : models;
+            limits = isShared.test("Limits") ? base.limits : limits;
+            retentions = isShared.test("Retention") ? base.retentions : retentions;
+            return this;
+        }
+
         /**
          * Adds a workspace.
          *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetAssembler.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetAssembler.java
@@ -12,10 +12,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 
 /** Puts bound documents together and checks what must hold between them. */
 final class FileSetAssembler {
 
+    private static final Set<String> RULED_KINDS = Set.of("RequestClass", "Service", "Upstream", "Model");
     private static final int NAMES_IN_MESSAGE = 20;
 
     private final ConfigurationErrorReporter reporter;
@@ -32,6 +34,40 @@
      * @return the file set, of use only if the reporter heard of no fault
      */
     FileSet assemble(List<BoundDocument> documents) {
+        add(documents);
+        FileSet fileSet = builder.build();
+        check(documents, fileSet);
+        return fileSet;
+    }
+
+    /**
+     * Puts documents together with those of a file set that was checked before.
+     *
+     * @param base the file set that was checked
+     * @param changedKinds all documents of each kind that has changed ones
+     * @param changed the documents that were added or changed
+     * @param all gives all documents, where names that may be referred to have gone
+     * @return the file set, of use only if the reporter heard of no fault
+     */
+    FileSet assembleOn(
+            FileSet base,
+            Map<String, List<BoundDocument>> changedKinds,
+            List<BoundDocument> changed,
+            Supplier<List<BoundDocument>> all) {
+        builder.share(base, kind -> !changedKinds.containsKey(kind));
+        changedKinds.values().forEach(this::add);
+        FileSet fileSet = builder.build();
+        Map<String, Set<String>> before = names(base);
+        Map<String, Set<String>> after = names(fileSet);
+        boolean namesStay = before.entrySet().stream()
+                .filter(entry -> changedKinds.containsKey(entry.getKey()))
+                .allMatch(entry -> after.get(entry.getKey()).containsAll(entry.getValue()));
+        boolean rulesStay = RULED_KINDS.stream().noneMatch(changedKinds::containsKey);
+        check(namesStay && rulesStay ? changed : all.get(), fileSet);
+        return fileSet;
+    }
+
+    private void add(List<BoundDocument> documents) {
         for (BoundDocument document : documents) {
             if (!document.adder().test(builder)) {
                 document.report(
@@ -41,14 +77,15 @@
                                 + "' stands already; choose another name");
             }
         }
-        FileSet fileSet = builder.build();
+    }
+
+    private void check(List<BoundDocument> documents, FileSet fileSet) {
         Map<String, Set<String>> names = names(fileSet);
         for (BoundDocument document : documents) {
             checkReferences(document, names);
             checkRules(document, fileSet);
         }
         checkAddresses(documents, fileSet);
-        return fileSet;
     }
 
     private static Map<String, Set<String>> names(FileSet fileSet) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetReader.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetReader.java
@@ -45,14 +45,22 @@
     public static List<SourceFile> readFolder(Path folder, ConfigurationErrorReporter reporter) {
         List<SourceFile> files = new ArrayList<>();
         try (Stream<Path> paths = Files.list(folder)) {
-            List<Path> sorted = paths.filter(path -> path.toString().endsWith(".yaml"))
-                    .sorted()
-                    .toList();
+            List<Path> sorted = paths.sorted().toList();
             for (Path path : sorted) {
-                files.add(new SourceFile(path.getFileName().toString(), Files.readString(path)));
+                String name = path.getFileName().toString();
+                if (name.endsWith(".yaml")) {
+                    files.add(new SourceFile(name, Files.readString(path)));
+                } else if (name.endsWith(".yml")) {
+                    reporter.report(
+                            new ConfigurationError(name, 0, "-", "would be left out; let its name end in .yaml"));
+                }
             }
         } catch (IOException e) {
             reporter.report(new ConfigurationError(folder.toString(), 0, "-", "cannot be read: " + e.getMessage()));
+            return files;
+        }
+        if (files.isEmpty()) {
+            reporter.report(new ConfigurationError(folder.toString(), 0, "-", "has no file that ends in .yaml"));
         }
         return files;
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PartReader.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PartReader.java
@@ -12,6 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /** Reads the parts of a generation, and reads each part only once while generations share it. */
 public final class PartReader {
@@ -20,6 +24,8 @@
 
     private final FileSetReader reader = new FileSetReader();
     private Map<String, List<BoundDocument>> bound = new HashMap<>();
+    private Listing lastListing = Listing.EMPTY;
+    private FileSet lastFileSet;
 
     /**
      * Reads a generation.
@@ -31,23 +37,73 @@
      */
     public Optional<FileSet> read(Listing listing, Map<String, String> texts, ConfigurationErrorReporter reporter) {
         Map<String, List<BoundDocument>> next = new HashMap<>();
-        List<BoundDocument> documents = new ArrayList<>();
+        List<BoundDocument> changed = new ArrayList<>();
         listing.digests().forEach((name, digest) -> {
             List<BoundDocument> part = bound.get(digest);
             if (part == null) {
                 part = bind(new SourceFile(name, texts.get(digest)), reporter);
+                changed.addAll(part);
             }
             next.put(digest, part);
-            documents.addAll(part);
         });
-        FileSet fileSet = new FileSetAssembler(reporter).assemble(documents);
+        FileSet fileSet = assemble(listing, next, changed, reporter);
         if (reporter.hasErrors()) {
             return Optional.empty();
         }
         bound = next;
+        lastListing = listing;
+        lastFileSet = fileSet;
         return Optional.of(fileSet);
     }
 
+    private FileSet assemble(
+            Listing listing,
+            Map<String, List<BoundDocument>> parts,
+            List<BoundDocument> changed,
+            ConfigurationErrorReporter reporter) {
+        FileSetAssembler assembler = new FileSetAssembler(reporter);
+        Supplier<List<BoundDocument>> all = () -> documentsOf(listing, parts, kind -> true);
+        if (lastFileSet == null) {
+            return assembler.assemble(all.get());
+        }
+        Map<String, List<BoundDocument>> changedKinds = new HashMap<>();
+        for (String kind : changedKinds(listing)) {
+            changedKinds.put(kind, documentsOf(listing, parts, kind::equals));
+        }
+        return assembler.assembleOn(lastFileSet, changedKinds, changed, all);
+    }
+
+    private Set<String> changedKinds(Listing listing) {
+        Set<String> kinds = new TreeSet<>();
+        collectChanged(listing, lastListing, kinds);
+        collectChanged(lastListing, listing, kinds);
+        return kinds;
+    }
+
+    private static void collectChanged(Listing from, Listing to, Set<String> kinds) {
+        from.digests().forEach((name, digest) -> {
+            if (!digest.equals(to.digests().get(name))) {
+                kinds.add(kindOf(name));
+            }
+        });
+    }
+
+    private static String kindOf(String partName) {
+        int slash = partName.indexOf('/');
+        return slash < 0 ? partName : partName.substring(0, slash);
+    }
+
+    private static List<BoundDocument> documentsOf(
+            Listing listing, Map<String, List<BoundDocument>> parts, Predicate<String> isWanted) {
+        List<BoundDocument> documents = new ArrayList<>();
+        listing.digests().forEach((name, digest) -> {
+            if (isWanted.test(kindOf(name))) {
+                documents.addAll(parts.get(digest));
+            }
+        });
+        return documents;
+    }
+
     private List<BoundDocument> bind(SourceFile part, ConfigurationErrorReporter reporter) {
         return reader.bind(documents(part, reporter), reporter).stream()
                 .map(BoundDocument::light)
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PartSplitter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/PartSplitter.java
@@ -18,7 +18,7 @@
 
     private static final String ORDERED_KIND = "RequestClass";
     private static final int DOCUMENTS_PER_BUCKET = 16;
-    private static final int GROWTH = 16;
+    private static final int GROWTH = 2;
     /** Stands before each document. */
     static final String SEPARATOR = "---\n";
 
@@ -96,7 +96,7 @@
 
     private static int buckets(int documents) {
         int buckets = 1;
-        while (buckets * DOCUMENTS_PER_BUCKET * GROWTH / 4 < documents) {
+        while (buckets * DOCUMENTS_PER_BUCKET < documents) {
             buckets *= GROWTH;
         }
         return buckets;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/yaml/SchemaChecker.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/yaml/SchemaChecker.java
@@ -13,15 +13,23 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
 
 /** Checks documents against a JSON schema that ships with the program. */
 public final class SchemaChecker {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final Pattern SECRET = Pattern.compile("(?i)secret|password|token|plain|^key$|bearer");
+    private static final String PROPERTIES = "properties";
+
+    private final JsonNode definition;
     private final JsonSchema schema;
 
-    private SchemaChecker(JsonSchema schema) {
+    private SchemaChecker(JsonNode definition, JsonSchema schema) {
+        this.definition = definition;
         this.schema = schema;
     }
 
@@ -50,6 +58,7 @@
         SchemaValidatorsConfig config =
                 SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER).build();
         return new SchemaChecker(
+                schema,
                 JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(schema, config));
     }
 
@@ -69,11 +78,39 @@
         return valid;
     }
 
-    private static ConfigurationError toError(LocatedDocument document, ValidationMessage message) {
+    private ConfigurationError toError(LocatedDocument document, ValidationMessage message) {
         String pointer = message.getInstanceLocation().toString();
         String key = message.getProperty() == null ? pointer : pointer + "/" + message.getProperty();
         return new ConfigurationError(
-                document.file(), document.line(key), key.isEmpty() ? "/" : key, withoutPointer(message, pointer));
+                document.file(), document.line(key), key.isEmpty() ? "/" : key, explain(pointer, message));
+    }
+
+    private String explain(String pointer, ValidationMessage message) {
+        String property = message.getProperty();
+        boolean atRoot = pointer.isEmpty() && definition.has(PROPERTIES);
+        if (atRoot && "additionalProperties".equals(message.getType())) {
+            return unknownKey(property);
+        }
+        if (atRoot && "required".equals(message.getType())) {
+            return "the key is missing" + rightValue(property);
+        }
+        String key = pointer.startsWith("/") ? pointer.substring(1) : pointer;
+        return withoutPointer(message, pointer) + rightValue(key.split("/")[0]);
+    }
+
+    private String unknownKey(String property) {
+        if (SECRET.matcher(property).find()) {
+            return "a secret never stands in a file; 'config hash-key' makes a key and the document with its hash";
+        }
+        List<String> known = new ArrayList<>();
+        definition.get(PROPERTIES).fieldNames().forEachRemaining(known::add);
+        return "the key is not known here; known are " + String.join(", ", known);
+    }
+
+    private String rightValue(String property) {
+        String description =
+                definition.path(PROPERTIES).path(property).path("description").asText();
+        return description.isEmpty() ? "" : "; it gives: " + description;
     }
 
     private static String withoutPointer(ValidationMessage message, String pointer) {
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/FileSetReaderTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/FileSetReaderTest.java
@@ -6,6 +6,8 @@
 import io.lagoonseam.core.configuration.ConfigurationError;
 import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
 import io.lagoonseam.core.configuration.FileSet;
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -78,6 +80,86 @@
         }
     }
 
+    public static final class Rules {
+
+        private static final String SERVICES = """
+                {kind: Service, name: care-llm, type: model, silenceMillis: 2000}
+                ---
+                {kind: Service, name: studio-app, type: plain, silenceMillis: 2000}
+                ---
+                {kind: Service, name: other-llm, type: model, silenceMillis: 2000}
+                ---
+                {kind: Model, name: other-1, service: other-llm, version: "1"}
+                ---
+                kind: ServiceLevel
+                name: level
+                firstTokenMillis: 1
+                betweenTokensMillis: 1
+                deadlineMillis: 1
+                longestWaitMillis: 1
+                weight: 1
+                queueCapacity: 1
+                ---
+                """;
+
+        private static String onlyMessage(String text) {
+            List<ConfigurationError> errors = errorsOf(text);
+            assertEquals(errors.size(), 1, errors.toString());
+            return errors.get(0).message();
+        }
+
+        private static String requestClass(String service) {
+            return SERVICES + "{kind: RequestClass, name: c, service: " + service
+                    + ", serviceLevel: level, tier: low, idempotent: true, model: other-1}";
+        }
+
+        @Test
+        public void addressesAreUnique() {
+            String upstream = "dataCentre: a, service: care-llm, concurrency: 1, host: 127.0.0.1, port: 80}\n";
+            assertEquals(
+                    onlyMessage(SERVICES + "{kind: Upstream, name: u1, " + upstream + "---\n{kind: Upstream, name: u2, "
+                            + upstream),
+                    "upstream 'u1' has the address 127.0.0.1:80 already; give each its own");
+        }
+
+        @Test
+        public void modelIsOfTheService() {
+            assertEquals(
+                    onlyMessage(requestClass("care-llm")),
+                    "'other-1' is a model of service 'other-llm', not of 'care-llm'; name a model of 'care-llm'");
+        }
+
+        @Test
+        public void plainServicesHaveNoModel() {
+            assertEquals(
+                    onlyMessage(requestClass("studio-app")),
+                    "'studio-app' is a plain service, which has no models; remove the key");
+        }
+
+        @Test
+        public void secretsAreRefused() {
+            String key = "{kind: Key, name: k, workspace: w, saltHex: \"" + "00".repeat(8) + "\", ";
+            List<ConfigurationError> named = errorsOf(key + "hashHex: \"" + "00".repeat(32) + "\", secret: demo}");
+            assertTrue(named.get(0).message().contains("config hash-key"), named.toString());
+            List<ConfigurationError> inPlaceOfHash = errorsOf(key + "hashHex: k.demo}");
+            assertEquals(inPlaceOfHash.get(0).key(), "/hashHex");
+        }
+
+        @Test
+        public void missingKeysAreExplained() {
+            List<ConfigurationError> errors = errorsOf("{kind: Model, name: m, service: care-llm}");
+            assertEquals(errors.get(0).message(), "the key is missing; it gives: Its version");
+        }
+    }
+
+    public static final class Page {
+
+        @Test
+        public void isWrittenFromTheSchema() throws IOException {
+            assertEquals(Files.readString(Path.of("..", "docs", "CONFIGURATION.md")), SchemaPage.write());
+        }
+    }
+
     public static final class Examples {
 
         @DataProvider
