--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -1,14 +1,12 @@
 package io.lagoonseam.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.lagoonseam.core.audit.AuditTrail;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
-import io.lagoonseam.core.membership.Member;
-import io.lagoonseam.core.membership.MemberState;
-import io.lagoonseam.core.membership.SoleMemberDirectory;
-import io.lagoonseam.core.peer.NoopPeerTransport;
 import io.lagoonseam.core.platform.VmEntry;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.TimeSource;
@@ -16,10 +14,13 @@
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
 import io.lagoonseam.entry.configuration.FollowerEnvironment;
+import io.lagoonseam.entry.configuration.GenerationPiggyback;
+import io.lagoonseam.entry.configuration.InForceReader;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
+import io.lagoonseam.entry.operator.AuditRoutes;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
 import io.lagoonseam.entry.placement.NodePlacement;
@@ -59,6 +60,7 @@
 
     private final Vertx vertx;
     private final EntrySettings settings;
+    private final AuditTrail audit;
     private final EventSink events;
     private final TimeSource time = new SystemTimeSource();
     private final MetricRegistry registry = new MetricRegistry();
@@ -92,13 +94,14 @@
      *
      * @param vertx the Vert.x instance that it runs on
      * @param settings its settings
-     * @param events the sink of numbered events
+     * @param sink the sink of numbered events
      * @param policies the policies of each service
      */
-    public EntryNode(Vertx vertx, EntrySettings settings, EventSink events, ServicePolicies policies) {
+    public EntryNode(Vertx vertx, EntrySettings settings, EventSink sink, ServicePolicies policies) {
         this.vertx = vertx;
         this.settings = settings;
-        this.events = events;
+        this.audit = new AuditTrail(sink, time);
+        this.events = audit;
         this.invariants = new InvariantMonitor(events);
         this.configuration = new ActiveConfiguration(invariants);
         this.platform = new PlatformClient(vertx, settings.platformUrl());
@@ -119,15 +122,20 @@
                 new NodePlacement.Environment(
                         vertx, settings, platform, peers.members(), peers.transport(), configuration, time, events),
                 decisions);
-        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, this::configure);
+        this.peers.piggybacks().add(new GenerationPiggyback(follower));
+    }
+
+    private void configure(FileSet fileSet) {
+        dispatcher.trail().generation(follower.generation());
+        dispatcher.configure(fileSet);
     }
 
     private FollowerEnvironment followerEnvironment() {
-        Member self = new Member(settings.nodeId(), settings.dataCentre(), "", 0, 0, MemberState.ALIVE);
         return new FollowerEnvironment(
                 platform,
-                new NoopPeerTransport(),
-                new SoleMemberDirectory(self),
+                peers.transport(),
+                peers.members(),
                 (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
                 decisions,
                 time,
@@ -164,13 +172,17 @@
                 new OperatorRoutes(settings, configuration, dispatcher, invariants, registry, this::isReady);
         return listen(callers.router(vertx, settings.bodyLimitBytes()), settings.callers())
                 .onSuccess(server -> callerServer = server)
-                .compose(server -> listen(operators.router(vertx), settings.operators()))
+                .compose(server -> listen(auditRoutes().addTo(operators.router(vertx)), settings.operators()))
                 .onSuccess(server -> operatorServer = server)
                 .compose(server -> peers.start())
                 .onSuccess(server -> started())
                 .mapEmpty();
     }
 
+    private AuditRoutes auditRoutes() {
+        return new AuditRoutes(audit, dispatcher.trail(), peers::allMembers, follower, new InForceReader(platform));
+    }
+
     private Future<HttpServer> listen(Router router, ListenAddress address) {
         return vertx.createHttpServer().requestHandler(router).listen(address.port(), address.host());
     }
