--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/DefaultMemberDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/DefaultMemberDirectory.java
@@ -307,10 +307,15 @@
     }
 
     private Optional<MembershipMessage> decodeReply(PeerReply reply) {
-        if (reply instanceof PeerReply.Answered answered) {
+        if (!(reply instanceof PeerReply.Answered answered)) {
+            return Optional.empty();
+        }
+        try {
             return Optional.of(environment.codec().decode(answered.payload()));
+        } catch (RuntimeException e) {
+            environment.events().record(EventCode.PEER_FRAME_BAD, "an answer to a probe: " + e.getMessage());
+            return Optional.empty();
         }
-        return Optional.empty();
     }
 
     private CompletionStage<byte[]> answerProbe(String senderId, byte[] payload) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/PeerFrameCodec.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/PeerFrameCodec.java
@@ -94,7 +94,7 @@
 
     private static String readId(MessageUnpacker unpacker) throws IOException {
         String id = unpacker.unpackString();
-        if (id.length() > ID_LIMIT_CHARACTERS) {
+        if (id.isEmpty() || id.length() > ID_LIMIT_CHARACTERS) {
             throw new MalformedMessageException("a node name of " + id.length() + " characters");
         }
         return id;
