--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/ClassProfile.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/ClassProfile.java
@@ -13,6 +13,7 @@
  * @param promptChars the length of prompts
  * @param maxTokens the limit of answers
  * @param keyed whether requests carry an idempotency key
+ * @param burst the time in which the class sends more
  */
 public record ClassProfile(
         String requestClass,
@@ -22,13 +23,38 @@
         String path,
         int promptChars,
         int maxTokens,
-        boolean keyed) {
+        boolean keyed,
+        RateBurst burst) {
 
     /** Copies the list. */
     public ClassProfile {
         keys = List.copyOf(keys);
     }
 
+    /**
+     * Creates traffic at a constant rate.
+     *
+     * @param requestClass the class
+     * @param requestsPerSecond the mean rate of arrivals
+     * @param keys bearer keys, of which each request takes one
+     * @param model the model, or empty for a plain service
+     * @param path the path, for a plain service
+     * @param promptChars the length of prompts
+     * @param maxTokens the limit of answers
+     * @param keyed whether requests carry an idempotency key
+     */
+    public ClassProfile(
+            String requestClass,
+            double requestsPerSecond,
+            List<String> keys,
+            String model,
+            String path,
+            int promptChars,
+            int maxTokens,
+            boolean keyed) {
+        this(requestClass, requestsPerSecond, keys, model, path, promptChars, maxTokens, keyed, RateBurst.NONE);
+    }
+
     /**
      * Returns whether the class goes to model engines.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -10,6 +10,7 @@
 import io.lagoonseam.entry.caller.CallerRoutes;
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
+import io.lagoonseam.entry.configuration.FollowerEnvironment;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
@@ -114,8 +115,7 @@
                 events,
                 policies,
                 settings.seed()));
-        this.follower = new ConfigurationFollower(
-                vertx, platform, configuration, events, dispatcher::configure, settings.seed());
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
         this.tls = new NodeTls(vertx, settings, events);
         this.upstreamWatch = new UpstreamWatch(new UpstreamWatch.Environment(
                 platform,
@@ -128,6 +128,18 @@
         dispatcher.onConnection(upstreamWatch::connected);
     }
 
+    private FollowerEnvironment followerEnvironment() {
+        return new FollowerEnvironment(
+                platform,
+                peers.transport(),
+                peers.members(),
+                (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
+                decisions,
+                time,
+                events,
+                settings.seed());
+    }
+
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
         AtomicInteger number = new AtomicInteger();
         return Executors.newFixedThreadPool(settings.workerThreads(), task -> {
@@ -200,7 +212,7 @@
      * @return true once a configuration is in force and until the node stops
      */
     public boolean isReady() {
-        return state == State.SERVING && configuration.current().isPresent();
+        return state == State.SERVING && follower.isCaughtUp();
     }
 
     /**
