--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -11,10 +11,7 @@
 public final class Experiments {
 
     private static final List<Experiment> ALL = List.of(
-            new BurstExperiment(),
-            new LeaseExperiment(),
-            new PropagationExperiment(),
-            new RouterCostExperiment());
+            new BurstExperiment(), new LeaseExperiment(), new PropagationExperiment(), new RouterCostExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -20,6 +20,7 @@
 abstract class AbstractRequestRunner implements QueuedRequest, CancellableRequest {
 
     private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
     private static final long RETRY_AFTER_FAILURE_MILLIS = 1_000;
 
     private final Dispatcher dispatcher;
@@ -39,6 +40,7 @@
         this.sink = sink;
         this.explainer = new RequestExplainer(dispatcher.trail(), ticket, dispatcher.time());
         explainer.classified();
+        dispatcher.started(this);
     }
 
     /** Runs one attempt on the caller's context. */
@@ -99,6 +101,7 @@
             }
             worker = chosen;
             explainer.attempt(chosen.name());
+            dispatcher.newWork().sending(chosen.name());
             attempt(chosen);
         });
     }
@@ -123,6 +126,24 @@
         }
     }
 
+    /** Ends the request because the node stops now; what was sent may have run. */
+    final void cutOff() {
+        context.runOnContext(nothing -> {
+            Upstream held = worker;
+            if (ended) {
+                return;
+            }
+            dispatcher.decide(() -> service().cancel(ticket.id()));
+            endWithRefusal(Refusal.builder(EventCode.STOP_DEADLINE_PASSED, UNAVAILABLE)
+                    .verdict(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN)
+                    .retryAfterMillis(RETRY_AFTER_FAILURE_MILLIS)
+                    .build());
+            if (held != null) {
+                abandonAttempt(held);
+            }
+        });
+    }
+
     final void markSent() {
         boolean repeated = sent && !ticket.requestClass().idempotent();
         dispatcher.invariants().check(Invariant.AT_MOST_ONCE, !repeated, ticket.id());
@@ -201,6 +222,7 @@
 
     private void markEnded() {
         ended = true;
+        dispatcher.ended(this);
         dispatcher.finished();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/NodePlacement.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/NodePlacement.java
@@ -19,7 +19,6 @@
 import io.lagoonseam.entry.platform.JsonLeaseCodec;
 import io.lagoonseam.entry.settings.EntrySettings;
 import io.lagoonseam.entry.upstream.HttpEngineControl;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +26,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.stream.Collectors;
@@ -131,13 +132,11 @@
      *
      * @return completes when the platform was told, or could not be
      */
-    public Future<Void> handOver() {
+    public CompletionStage<Void> handOver() {
         leaving = true;
-        return Future.join(controllers.values().stream()
-                        .map(controller -> Future.fromCompletionStage(controller.release()))
-                        .toList())
-                .otherwiseEmpty()
-                .mapEmpty();
+        return CompletableFuture.allOf(controllers.values().stream()
+                .map(controller -> controller.release().toCompletableFuture())
+                .toArray(CompletableFuture[]::new));
     }
 
     /**
