experiment chaos: a random run over the whole system under seeded faults

Cause: each part was tested under its own faults; nothing ran all of them together.

Demo and lease runs use the same ledger and client. The ledger adds up actions over all plain services, so an action that ran on two of them is seen.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/demo/Demo.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/demo/Demo.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.demo;
 
+import io.lagoonseam.bench.fleet.ActionLedger;
 import io.lagoonseam.bench.fleet.LocalFleet;
 import io.lagoonseam.bench.traffic.TrafficGenerator;
 import io.lagoonseam.bench.traffic.TrafficProfile;
@@ -9,11 +10,6 @@
 import io.lagoonseam.entry.EntryNode;
 import io.lagoonseam.entry.configuration.FileSetReader;
 import io.lagoonseam.entry.configuration.SourceFile;
-import io.lagoonseam.standin.plain.PlainServiceStandIn;
-import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
-import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -78,8 +74,8 @@
                 .toList();
     }
 
-    private boolean print(LocalFleet fleet, TrafficReport report) throws TimeoutException {
-        long runTwice = actionsRunTwice(fleet);
+    private boolean print(LocalFleet fleet, TrafficReport report) {
+        long runTwice = new ActionLedger(fleet).runTwice();
         long violations = fleet.nodes().stream()
                 .map(EntryNode::invariants)
                 .mapToLong(monitor -> monitor.totalViolations())
@@ -90,21 +86,4 @@
                 runTwice, report.wrongAnswers(), violations);
         return runTwice == 0 && report.wrongAnswers() == 0 && violations == 0;
     }
-
-    private static long actionsRunTwice(LocalFleet fleet) throws TimeoutException {
-        long total = 0;
-        for (PlainServiceStandIn service : fleet.plainServices().values()) {
-            total += counters(fleet.vertx(), service.url()).getLong("keysRunTwice");
-        }
-        return total;
-    }
-
-    private static JsonObject counters(Vertx vertx, String url) throws TimeoutException {
-        return vertx.createHttpClient()
-                .request(new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(url + "/counters"))
-                .compose(request -> request.send())
-                .compose(response -> response.body())
-                .map(JsonObject::new)
-                .await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    }
 }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
@@ -11,7 +12,11 @@
 public final class Experiments {
 
     private static final List<Experiment> ALL = List.of(
-            new BurstExperiment(), new LeaseExperiment(), new PropagationExperiment(), new RouterCostExperiment());
+            new ChaosExperiment(),
+            new BurstExperiment(),
+            new LeaseExperiment(),
+            new PropagationExperiment(),
+            new RouterCostExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/lease/LeaseRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/lease/LeaseRun.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.experiment.lease;
 
+import io.lagoonseam.bench.fleet.StandInClient;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
 import io.lagoonseam.core.configuration.Upstream;
@@ -18,8 +19,6 @@
 import io.lagoonseam.standin.platform.PlatformStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
@@ -47,6 +46,7 @@
     private static final PlacementOptions PLACEMENT = new PlacementOptions(2, 4, 150, 40);
 
     private final Vertx vertx = Vertx.vertx();
+    private final StandInClient standIns = new StandInClient(vertx);
     private final boolean checksFencing;
     private final Random random;
     private final PlatformStandIn platform;
@@ -153,7 +153,7 @@
         }
     }
 
-    Outcome run(long durationMillis) throws InterruptedException, TimeoutException {
+    Outcome run(long durationMillis) throws InterruptedException {
         ScheduledExecutorService ticks = Executors.newScheduledThreadPool(2);
         for (int node = 0; node < CONTROLLERS; node++) {
             PlacementController controller = controllers.get(node);
@@ -180,7 +180,7 @@
         return outcome();
     }
 
-    private void injectFault() throws TimeoutException {
+    private void injectFault() {
         controls.forEach(PausableEngineControl::resume);
         JsonObject calm =
                 new JsonObject().put("outage", false).put("slowMillis", 0).put("loseAnswersShare", 0.0);
@@ -192,7 +192,7 @@
             }
             default -> calm.put("slowMillis", 100).put("loseAnswersShare", 0.3);
         }
-        post(platform.url() + "/faults", calm);
+        standIns.post(platform.url() + "/faults", calm);
     }
 
     private void pauseHolder() {
@@ -204,10 +204,11 @@
         }
     }
 
-    private Outcome outcome() throws TimeoutException {
+    private Outcome outcome() {
         long interleaved = 0;
         for (ModelEngineStandIn engine : engines) {
-            interleaved += interleavedOrders(get(engine.url() + "/orders").getJsonArray("history"));
+            interleaved +=
+                    interleavedOrders(standIns.get(engine.url() + "/orders").getJsonArray("history"));
         }
         long sentLate =
                 controls.stream().mapToLong(PausableEngineControl::sentLate).sum();
@@ -229,23 +230,6 @@
         return interleaved;
     }
 
-    private void post(String url, JsonObject body) throws TimeoutException {
-        RequestOptions options = new RequestOptions().setMethod(HttpMethod.POST).setAbsoluteURI(url);
-        await(vertx.createHttpClient()
-                .request(options)
-                .compose(request -> request.send(body.toBuffer()))
-                .compose(response -> response.body()));
-    }
-
-    private JsonObject get(String url) throws TimeoutException {
-        RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(url);
-        return await(vertx.createHttpClient()
-                .request(options)
-                .compose(request -> request.send())
-                .compose(response -> response.body())
-                .map(JsonObject::new));
-    }
-
     @Override
     public void close() throws TimeoutException {
         await(vertx.close());
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/StandInClient.java
@@ -0,0 +1,75 @@
+package io.lagoonseam.bench.fleet;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Reads and switches stand-ins over HTTP, waiting for each answer. */
+public final class StandInClient {
+
+    private static final long TIMEOUT_SECONDS = 30;
+
+    private final HttpClient client;
+
+    /**
+     * Creates a client.
+     *
+     * @param vertx the Vert.x instance
+     */
+    public StandInClient(Vertx vertx) {
+        this.client = vertx.createHttpClient();
+    }
+
+    /**
+     * Reads an address.
+     *
+     * @param url the address
+     * @return the JSON that it answers
+     */
+    public JsonObject get(String url) {
+        return exchange(HttpMethod.GET, url, Buffer.buffer());
+    }
+
+    /**
+     * Posts to an address.
+     *
+     * @param url the address
+     * @param body the body
+     * @return the JSON that it answers
+     */
+    public JsonObject post(String url, JsonObject body) {
+        return exchange(HttpMethod.POST, url, body.toBuffer());
+    }
+
+    /**
+     * Puts to an address.
+     *
+     * @param url the address
+     * @param body the body
+     * @return the JSON that it answers
+     */
+    public JsonObject put(String url, JsonObject body) {
+        return exchange(HttpMethod.PUT, url, body.toBuffer());
+    }
+
+    private JsonObject exchange(HttpMethod method, String url, Buffer body) {
+        RequestOptions options = new RequestOptions().setMethod(method).setAbsoluteURI(url);
+        Future<JsonObject> answer = client.request(options)
+                .compose((HttpClientRequest request) -> request.send(body))
+                .compose(HttpClientResponse::body)
+                .map(JsonObject::new);
+        try {
+            return answer.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            throw new IllegalStateException("no answer from " + url + " within " + TIMEOUT_SECONDS + " s", e);
+        }
+    }
+}
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
@@ -23,6 +23,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Sends requests at random times that do not depend on the answers, to one entry address after the other. */
 public final class TrafficGenerator {
@@ -32,11 +33,13 @@
     private static final long PROGRESS_MILLIS = 1_000;
     private static final double NANOS_PER_MILLI = 1e6;
     private static final String DATA = "data: ";
+    private static final String NOT_RUN = "not_run";
+    private static final String NO_NODE = "no_node";
 
     private final Vertx vertx;
     private final Context context;
     private final HttpClient client;
-    private final List<String> targets;
+    private final Supplier<List<String>> targets;
     private final FileSet fileSet;
     private final TrafficProfile profile;
     private final long seed;
@@ -47,11 +50,12 @@
     private int requestsRunning;
     private int nextTarget;
 
-    private TrafficGenerator(Vertx vertx, List<String> targets, FileSet fileSet, TrafficProfile profile, long seed) {
+    private TrafficGenerator(
+            Vertx vertx, Supplier<List<String>> targets, FileSet fileSet, TrafficProfile profile, long seed) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.client = vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(POOL_SIZE));
-        this.targets = List.copyOf(targets);
+        this.targets = targets;
         this.fileSet = fileSet;
         this.profile = profile;
         this.seed = seed;
@@ -91,6 +95,28 @@
             TrafficProfile profile,
             long seed,
             Consumer<TrafficReport> progress) {
+        List<String> fixed = List.copyOf(targets);
+        return run(vertx, () -> fixed, fileSet, profile, seed, progress);
+    }
+
+    /**
+     * Runs a profile against nodes that come and go.
+     *
+     * @param vertx the Vert.x instance
+     * @param targets gives the addresses of the entry nodes at each request, at least one
+     * @param fileSet the file set, for the targets of the classes
+     * @param profile the traffic
+     * @param seed the seed of arrivals and prompts
+     * @param progress hears of the report each second, on the thread that writes it
+     * @return completes when every request has ended
+     */
+    public static Future<TrafficReport> run(
+            Vertx vertx,
+            Supplier<List<String>> targets,
+            FileSet fileSet,
+            TrafficProfile profile,
+            long seed,
+            Consumer<TrafficReport> progress) {
         TrafficGenerator generator = new TrafficGenerator(vertx, targets, fileSet, profile, seed);
         generator.context.runOnContext(nothing -> generator.begin(progress));
         return generator.finished.future();
@@ -169,16 +195,22 @@
         requestsRunning++;
         ClassReport classReport = report.ofClass(classProfile.requestClass());
         classReport.request();
-        String target = targets.get(nextTarget++ % targets.size());
-        RequestOptions options = options(classProfile, target, key, number);
-        Exchange exchange = new Exchange(classProfile, classReport, prompt(classProfile, number), intendedNanos);
+        List<String> present = targets.get();
+        if (present.isEmpty()) {
+            classReport.refused(NO_NODE);
+            requestsRunning--;
+            return;
+        }
+        String target = present.get(nextTarget++ % present.size());
+        Exchange exchange = new Exchange(classProfile, classReport, number, intendedNanos);
+        RequestOptions options = options(classProfile, target, key, exchange.idempotencyKey);
         client.request(options)
                 .compose(request -> request.send(exchange.body().toBuffer()))
                 .onSuccess(exchange::answered)
                 .onFailure(cause -> exchange.broken());
     }
 
-    private static RequestOptions options(ClassProfile classProfile, String target, String key, long number) {
+    private static RequestOptions options(ClassProfile classProfile, String target, String key, String idempotencyKey) {
         String path = classProfile.generates() ? "/v1/chat/completions" : classProfile.path();
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
@@ -187,7 +219,7 @@
                 .putHeader("Content-Type", "application/json")
                 .putHeader("X-Request-Class", classProfile.requestClass());
         if (classProfile.keyed()) {
-            options.putHeader("Idempotency-Key", classProfile.requestClass() + "-" + number);
+            options.putHeader("Idempotency-Key", idempotencyKey);
         }
         return options;
     }
@@ -206,6 +238,7 @@
         private final ClassProfile classProfile;
         private final ClassReport classReport;
         private final String prompt;
+        private final String idempotencyKey;
         private final long startNanos;
         private final StringBuilder pending = new StringBuilder();
         private final StringBuilder text = new StringBuilder();
@@ -215,10 +248,11 @@
         private boolean done;
         private boolean refusedMidway;
 
-        private Exchange(ClassProfile classProfile, ClassReport classReport, String prompt, long startNanos) {
+        private Exchange(ClassProfile classProfile, ClassReport classReport, long number, long startNanos) {
             this.classProfile = classProfile;
             this.classReport = classReport;
-            this.prompt = prompt;
+            this.prompt = prompt(classProfile, number);
+            this.idempotencyKey = classProfile.requestClass() + "-" + seed + "-" + number;
             this.startNanos = startNanos;
         }
 
@@ -320,7 +354,11 @@
 
         private void refused(String body) {
             try {
-                classReport.refused(new JsonObject(body).getJsonObject("error").getString("verdict"));
+                String verdict = new JsonObject(body).getJsonObject("error").getString("verdict");
+                classReport.refused(verdict);
+                if (NOT_RUN.equals(verdict) && classProfile.keyed()) {
+                    report.addKeyNotRun(idempotencyKey);
+                }
             } catch (DecodeException | NullPointerException e) {
                 classReport.refused("unreadable");
             }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficReport.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficReport.java
@@ -1,7 +1,9 @@
 package io.lagoonseam.bench.traffic;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -16,6 +18,7 @@
     private static final long SLOT_MILLIS = 100;
 
     private final Map<String, ClassReport> classes = new LinkedHashMap<>();
+    private final List<String> keysNotRun = new ArrayList<>();
     private final NavigableMap<Long, Long> tokensBySlot = new TreeMap<>();
 
     ClassReport ofClass(String name) {
@@ -43,6 +46,19 @@
                 .sum();
     }
 
+    void addKeyNotRun(String key) {
+        keysNotRun.add(key);
+    }
+
+    /**
+     * Returns the idempotency keys of the requests that were refused as not run.
+     *
+     * @return keys
+     */
+    public List<String> keysNotRun() {
+        return List.copyOf(keysNotRun);
+    }
+
     /**
      * Returns the reports of the classes.
      *
@@ -88,6 +104,15 @@
         return classes.values().stream().mapToLong(ClassReport::tokens).sum();
     }
 
+    /**
+     * Returns the connections that broke without a final answer.
+     *
+     * @return connections of all classes
+     */
+    public long brokenAnswers() {
+        return classes.values().stream().mapToLong(ClassReport::brokenAnswers).sum();
+    }
+
     /**
      * Renders a table.
      *
