--- a/lagoonseam-cli/src/test/java/io/lagoonseam/cli/ConfigCommandsTest.java
+++ b/lagoonseam-cli/src/test/java/io/lagoonseam/cli/ConfigCommandsTest.java
@@ -8,6 +8,8 @@
 import io.lagoonseam.core.audit.NoopEventSink;
 import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
 import io.lagoonseam.entry.configuration.FileSetReader;
+import io.lagoonseam.entry.configuration.InForceReader;
+import io.lagoonseam.entry.platform.PlatformClient;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -30,26 +32,37 @@
 
     private static final Path EXAMPLE = Path.of("..", "examples", "lashkeep");
 
+    private static final String FRESH = "\"name\":\"fresh\",\"requestsPerSecond\":";
+
     private LocalFleet fleet;
     private Path folder;
 
     private record Output(int exitCode, String out, String err) {}
 
     @BeforeClass
-    public void start() throws IOException {
+    public void start() throws IOException, InterruptedException {
         ConfigurationErrorReporter none = new ConfigurationErrorReporter();
         fleet = LocalFleet.start(FileSetReader.readFolder(EXAMPLE, none), 3, 1, new NoopEventSink());
+        awaitReports(new InForceReader(
+                new PlatformClient(fleet.vertx(), fleet.platform().url())));
         folder = Files.createTempDirectory("lagoonseam-config");
+        Files.writeString(folder.resolve("all.yaml"), config("show").out());
         Files.writeString(folder.resolve("limits.yaml"), limits(1));
     }
 
+    private static void awaitReports(InForceReader reader) throws InterruptedException {
+        while (reader.read().toCompletableFuture().join().orElse(List.of()).size() < 3) {
+            Thread.sleep(20);
+        }
+    }
+
     @AfterClass(alwaysRun = true)
     public void stop() {
         fleet.close();
     }
 
     private static String limits(int rate) {
-        return "kind: Limits\nname: small\nrequestsPerSecond: " + rate + "\ntokensPerSecond: 1\nconcurrency: 1\n";
+        return "kind: Limits\nname: fresh\nrequestsPerSecond: " + rate + "\ntokensPerSecond: 1\nconcurrency: 1\n";
     }
 
     private static Output run(List<String> arguments) {
@@ -81,7 +94,9 @@
 
     @Test(timeOut = 120_000)
     public void appliesAndReadsBack() throws Exception {
-        assertTrue(config("diff", folder.toString()).out().contains("+ Limits small"));
+        String diff = config("diff", folder.toString()).out();
+        assertTrue(diff.contains("+ Limits fresh"), diff);
+        assertTrue(diff.contains("generation 1: 1 documents differ"), diff);
         Instant before = Instant.now();
         Thread.sleep(2);
         Output applied = apply("ann", "--base", "1", "--wait", "60");
@@ -96,13 +111,13 @@
         Output late = apply("bea", "--base", "1", "--wait", "0");
         assertEquals(late.exitCode(), ExitCode.FAILED);
         assertTrue(late.err().contains("generation 2 by ann went first: test"), late.err());
-        assertTrue(late.err().contains("both touch Limits small"), late.err());
+        assertTrue(late.err().contains("both touch Limits fresh"), late.err());
         assertEquals(apply("bea", "--base", "2", "--wait", "0").exitCode(), ExitCode.DONE);
 
         assertTrue(config("history").out().contains("generation 3 by bea"));
-        assertTrue(config("show").out().contains("\"requestsPerSecond\":2"));
-        assertTrue(config("show", "--generation", "2").out().contains("\"requestsPerSecond\":1"));
-        assertFalse(config("show", "--at", before.toString()).out().contains("\"requestsPerSecond\":2"));
+        assertTrue(config("show").out().contains(FRESH + 2));
+        assertTrue(config("show", "--generation", "2").out().contains(FRESH + 1));
+        assertFalse(config("show", "--at", before.toString()).out().contains(FRESH + 2));
         assertEquals(config("show", "--at", "1999-01-01T00:00:00Z").exitCode(), ExitCode.FAILED);
     }
 
