--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -9,8 +10,8 @@
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL =
-            List.of(new BurstExperiment(), new PropagationExperiment(), new RouterCostExperiment());
+    private static final List<Experiment> ALL = List.of(
+            new BurstExperiment(), new LeaseExperiment(), new PropagationExperiment(), new RouterCostExperiment());
 
     private Experiments() {}
 
