--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/VirtualTime.java
@@ -0,0 +1,47 @@
+package io.lagoonseam.bench.operation;
+
+import io.lagoonseam.core.time.DelayedExecutor;
+import io.lagoonseam.core.time.TimeSource;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A clock that moves from task to task, in one thread. */
+public final class VirtualTime implements TimeSource, DelayedExecutor {
+
+    private record Task(long dueMillis, long sequence, Runnable action) {}
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::dueMillis).thenComparingLong(Task::sequence));
+    private long nowMillis;
+    private long sequence;
+
+    @Override
+    public long monotonicNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(nowMillis);
+    }
+
+    @Override
+    public long wallMillis() {
+        return nowMillis;
+    }
+
+    @Override
+    public void schedule(long delayMillis, Runnable task) {
+        tasks.add(new Task(nowMillis + Math.max(0, delayMillis), sequence++, task));
+    }
+
+    /**
+     * Runs every task that is due up to a time.
+     *
+     * @param endMillis the time at which the clock stops
+     */
+    public void runUntil(long endMillis) {
+        while (!tasks.isEmpty() && tasks.peek().dueMillis() <= endMillis) {
+            Task task = tasks.poll();
+            nowMillis = task.dueMillis();
+            task.action().run();
+        }
+        nowMillis = endMillis;
+    }
+}
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -73,6 +73,8 @@
     OUTCOME_UNKNOWN(503, EventLevel.WARNING, "The outcome of the first attempt is not known"),
     /** The recorded answer was given again. */
     ANSWER_REPLAYED(504, EventLevel.INFO, "The recorded answer was given again"),
+    /** The operation ran and its answer is not kept. */
+    ANSWER_NOT_KEPT(505, EventLevel.INFO, "The operation ran before and its answer was not kept"),
 
     /** A generation is in force at this node. */
     CONFIGURATION_IN_FORCE(601, EventLevel.INFO, "A configuration generation is in force"),
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/BeginResult.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/BeginResult.java
@@ -4,11 +4,12 @@
 public sealed interface BeginResult
         permits BeginResult.Started,
                 BeginResult.Completed,
+                BeginResult.RanBefore,
                 BeginResult.InDoubt,
                 BeginResult.Mismatched,
                 BeginResult.Unavailable {
 
-    /** The intent is durable and this caller alone may run the operation. */
+    /** The intent is durable and this attempt alone may run the operation. */
     record Started() implements BeginResult {}
 
     /**
@@ -18,6 +19,9 @@
      */
     record Completed(RecordedAnswer answer) implements BeginResult {}
 
+    /** The operation ran before and its answer was not kept. */
+    record RanBefore() implements BeginResult {}
+
     /** The operation was begun before and its outcome is not known. */
     record InDoubt() implements BeginResult {}
 
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardHead.java
@@ -0,0 +1,90 @@
+package io.lagoonseam.core.operation.internal;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The journal object of a shard: its owner, its sealed segments and the records of its open segment.
+ *
+ * @param epoch rises by one with each takeover
+ * @param owner the node that appends
+ * @param token names the write that made this head
+ * @param openNumber the number of the open segment
+ * @param sealed the sealed segments from the oldest on
+ * @param open the encoded records of the open segment
+ */
+record ShardHead(long epoch, String owner, String token, long openNumber, List<Segment> sealed, byte[] open) {
+
+    static final ShardHead EMPTY = new ShardHead(0, "", "", 0, List.of(), new byte[0]);
+
+    /**
+     * An immutable object of sealed records.
+     *
+     * @param number its place in the order
+     * @param objectName its object on the platform
+     * @param sealedAtMillis the wall-clock time at which it was sealed
+     */
+    record Segment(long number, String objectName, long sealedAtMillis) {}
+
+    ShardHead {
+        sealed = List.copyOf(sealed);
+    }
+
+    ShardHead ownedBy(String newOwner, String newToken) {
+        return new ShardHead(epoch + 1, newOwner, newToken, openNumber, sealed, open);
+    }
+
+    ShardHead append(String newToken, byte[] records) {
+        byte[] joined = new byte[open.length + records.length];
+        System.arraycopy(open, 0, joined, 0, open.length);
+        System.arraycopy(records, 0, joined, open.length, records.length);
+        return new ShardHead(epoch, owner, newToken, openNumber, sealed, joined);
+    }
+
+    ShardHead seal(List<Segment> newSealed) {
+        return new ShardHead(epoch, owner, token, openNumber + 1, newSealed, new byte[0]);
+    }
+
+    byte[] encode() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(epoch);
+            RecordCodec.writeText(out, owner);
+            RecordCodec.writeText(out, token);
+            out.writeLong(openNumber);
+            out.writeInt(sealed.size());
+            for (Segment segment : sealed) {
+                out.writeLong(segment.number());
+                RecordCodec.writeText(out, segment.objectName());
+                out.writeLong(segment.sealedAtMillis());
+            }
+            out.write(open);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    static ShardHead decode(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            long epoch = in.readLong();
+            String owner = RecordCodec.readText(in);
+            String token = RecordCodec.readText(in);
+            long openNumber = in.readLong();
+            int count = in.readInt();
+            List<Segment> sealed = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                sealed.add(new Segment(in.readLong(), RecordCodec.readText(in), in.readLong()));
+            }
+            return new ShardHead(epoch, owner, token, openNumber, sealed, in.readAllBytes());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardRoutes.java
@@ -0,0 +1,83 @@
+package io.lagoonseam.core.operation.internal;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.lagoonseam.core.membership.Member;
+import io.lagoonseam.core.membership.MemberDirectory;
+import io.lagoonseam.core.operation.OperationKey;
+import java.util.Comparator;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+
+/** Finds the shard of a key and the node that should own a shard. */
+public final class ShardRoutes {
+
+    private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+    private final MemberDirectory members;
+    private final AtomicReferenceArray<String> knownOwners;
+
+    /**
+     * Creates routes.
+     *
+     * @param members the live members
+     * @param shards the number of shards
+     */
+    public ShardRoutes(MemberDirectory members, int shards) {
+        this.members = members;
+        this.knownOwners = new AtomicReferenceArray<>(shards);
+        members.onChange(this::forgetOwners);
+    }
+
+    private void forgetOwners() {
+        for (int shard = 0; shard < knownOwners.length(); shard++) {
+            knownOwners.set(shard, null);
+        }
+    }
+
+    /**
+     * Returns the shard of an operation.
+     *
+     * @param key the operation
+     * @return a number from 0
+     */
+    public int shardOf(OperationKey key) {
+        long hash = HASHER.hashCharsToLong(key.workspace() + '\n' + key.key());
+        return (int) Long.remainderUnsigned(hash, knownOwners.length());
+    }
+
+    /**
+     * Returns the node to ask about a shard.
+     *
+     * @param shard its number
+     * @return the owner that is known, else the live member of the highest rendezvous hash
+     */
+    public String ownerOf(int shard) {
+        String known = knownOwners.get(shard);
+        if (known != null) {
+            return known;
+        }
+        return members.liveMembers().stream()
+                .map(Member::nodeId)
+                .max(Comparator.comparingLong(nodeId -> HASHER.hashCharsToLong(nodeId + '\n' + shard)))
+                .orElse(members.self().nodeId());
+    }
+
+    /**
+     * Takes note of the owner that took a shard over.
+     *
+     * @param shard its number
+     * @param owner the node, empty if it is not known
+     */
+    public void learn(int shard, String owner) {
+        knownOwners.set(shard, owner.isEmpty() ? null : owner);
+    }
+
+    /**
+     * Takes note that a node could not be reached, so this node takes the shard over.
+     *
+     * @param shard its number
+     */
+    public void takeOver(int shard) {
+        knownOwners.set(shard, members.self().nodeId());
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -5,6 +5,12 @@
 import io.lagoonseam.core.audit.EventSink;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
+import io.lagoonseam.core.membership.Member;
+import io.lagoonseam.core.membership.MemberDirectory;
+import io.lagoonseam.core.membership.MemberState;
+import io.lagoonseam.core.membership.SoleMemberDirectory;
+import io.lagoonseam.core.operation.OwnerClient;
+import io.lagoonseam.core.operation.ShardedOperationJournal;
 import io.lagoonseam.core.platform.VmEntry;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.TimeSource;
@@ -16,8 +22,8 @@
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
 import io.lagoonseam.entry.operator.OperatorRoutes;
+import io.lagoonseam.entry.platform.NodeJournal;
 import io.lagoonseam.entry.platform.PlatformClient;
-import io.lagoonseam.entry.platform.SingleWriteOperationJournal;
 import io.lagoonseam.entry.settings.EntrySettings;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.upstream.UpstreamClient;
@@ -56,6 +62,7 @@
     private final InvariantMonitor invariants;
     private final ActiveConfiguration configuration;
     private final PlatformClient platform;
+    private final ShardedOperationJournal journal;
     private final ExecutorService decisions;
     private final Dispatcher dispatcher;
     private final ConfigurationFollower follower;
@@ -91,12 +98,14 @@
         this.invariants = new InvariantMonitor(events);
         this.configuration = new ActiveConfiguration(invariants);
         this.platform = new PlatformClient(vertx, settings.platformUrl());
+        this.journal =
+                NodeJournal.create(vertx, platform, members(settings), OwnerClient.NONE, configuration, invariants);
         this.decisions = newDecisionThreads(settings);
         this.dispatcher = new Dispatcher(new DispatchEnvironment(
                 decisions,
                 time,
                 new UpstreamClient(vertx),
-                new SingleWriteOperationJournal(platform),
+                journal,
                 new RouterMetrics(registry),
                 invariants,
                 events,
@@ -106,6 +115,11 @@
                 vertx, platform, configuration, events, dispatcher::configure, settings.seed());
     }
 
+    private static MemberDirectory members(EntrySettings settings) {
+        return new SoleMemberDirectory(
+                new Member(settings.nodeId(), settings.dataCentre(), "", 0, 0, MemberState.ALIVE));
+    }
+
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
         AtomicInteger number = new AtomicInteger();
         return Executors.newFixedThreadPool(settings.workerThreads(), task -> {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
@@ -242,6 +242,7 @@
                 ticket,
                 upstreamRequest,
                 operation,
+                service.statusPath(),
                 context.vertx().getOrCreateContext(),
                 new PlainAnswerWriter(context.response(), ticket.id()));
         cancelWhenClosed(context, dispatcher.call(request));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -42,6 +42,11 @@
     /** Called once when the caller has gone while a worker is held. */
     abstract void abandonAttempt(Upstream held);
 
+    /** Called once when the caller has its final answer or has gone. */
+    void afterEnd() {
+        // Most requests keep nothing that outlives them.
+    }
+
     @Override
     public final Ticket ticket() {
         return ticket;
@@ -180,5 +185,6 @@
     private void markEnded() {
         ended = true;
         dispatcher.finished();
+        afterEnd();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/PlainRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/PlainRequestRunner.java
@@ -2,6 +2,8 @@
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
+import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.core.operation.BeginRequest;
 import io.lagoonseam.core.operation.BeginResult;
 import io.lagoonseam.core.operation.OperationKey;
 import io.lagoonseam.core.operation.RecordedAnswer;
@@ -17,18 +19,25 @@
 /** Runs a request to a plain service; an operation with a key is recorded in the journal before it is sent. */
 final class PlainRequestRunner extends AbstractRequestRunner {
 
+    private static final long BEGIN_WAIT_MILLIS = 1_500;
+    private static final long OUTCOME_WAIT_MILLIS = 200;
+    private static final int FIRST_SERVER_ERROR = 500;
     private static final int CONFLICT = 409;
     private static final int UNPROCESSABLE = 422;
     private static final int UNAVAILABLE = 503;
 
     private final PlainRequest request;
     private final Optional<OperationKey> operation;
+    private final Optional<String> statusPath;
     private boolean begun;
+    private boolean attempting;
+    private boolean withdrawn;
 
     PlainRequestRunner(Dispatcher dispatcher, PlainServiceRequest request) {
         super(dispatcher, request.ticket(), request.context(), request.sink());
         this.request = request.upstreamRequest();
         this.operation = request.operation();
+        this.statusPath = request.statusPath();
     }
 
     @Override
@@ -39,7 +48,8 @@
         }
         dispatcher()
                 .journal()
-                .begin(operation.get())
+                .begin(new BeginRequest(
+                        operation.get(), ticket().id(), ticket().requestClass().tier(), BEGIN_WAIT_MILLIS))
                 .thenAccept(result -> context().runOnContext(nothing -> begun(chosen, result)));
     }
 
@@ -47,7 +57,7 @@
         if (result instanceof BeginResult.Started) {
             begun = true;
             if (ended()) {
-                withdraw();
+                withdrawUnsent();
             } else {
                 send(chosen);
             }
@@ -60,9 +70,29 @@
             replay(completed.answer());
             return;
         }
+        if (result instanceof BeginResult.InDoubt && statusPath.isPresent()) {
+            askUpstream(chosen);
+            return;
+        }
         endWithRefusal(refusalOf(result));
     }
 
+    /** Only a "ran" settles the doubt: an earlier sender may still be about to send. */
+    private void askUpstream(Upstream chosen) {
+        OperationKey key = operation.orElseThrow();
+        dispatcher()
+                .upstreams()
+                .readRan(chosen, statusPath.orElseThrow(), key.key())
+                .onComplete(answer -> {
+                    boolean ran = answer.succeeded() && answer.result();
+                    if (ran) {
+                        dispatcher().journal().confirmRan(key);
+                    }
+                    BeginResult known = ran ? new BeginResult.RanBefore() : new BeginResult.InDoubt();
+                    context().runOnContext(nothing -> endWithRefusal(refusalOf(known)));
+                });
+    }
+
     private static Refusal refusalOf(BeginResult result) {
         if (result instanceof BeginResult.Mismatched) {
             return Refusal.builder(EventCode.KEY_REUSED, UNPROCESSABLE).build();
@@ -72,6 +102,11 @@
                     .retryAfterMillis(unavailable.retryAfterMillis())
                     .build();
         }
+        if (result instanceof BeginResult.RanBefore) {
+            return Refusal.builder(EventCode.ANSWER_NOT_KEPT, CONFLICT)
+                    .verdict(Verdict.RAN)
+                    .build();
+        }
         return Refusal.builder(EventCode.OUTCOME_UNKNOWN, CONFLICT)
                 .verdict(Verdict.MAY_HAVE_RUN)
                 .build();
@@ -83,6 +118,7 @@
     }
 
     private void send(Upstream chosen) {
+        attempting = true;
         dispatcher().upstreams().call(chosen, request, new Listener(chosen));
     }
 
@@ -101,6 +137,8 @@
 
         @Override
         public void sending() {
+            boolean granted = operation.isEmpty() || begun && !withdrawn;
+            dispatcher().invariants().check(Invariant.AT_MOST_ONCE, granted, ticket().id() + " has no durable intent");
             markSent();
         }
 
@@ -108,33 +146,44 @@
         public void answered(PlainAnswer answer) {
             if (operation.isEmpty()) {
                 finish(answer);
-                return;
+            } else if (answer.status() >= FIRST_SERVER_ERROR) {
+                dispatcher().journal().leaveInDoubt(operation.get(), ticket().id());
+                finish(answer);
+            } else {
+                record(answer);
             }
-            RecordedAnswer recorded = new RecordedAnswer(
-                    answer.status(), answer.contentType(), answer.body().toString());
-            dispatcher()
-                    .journal()
-                    .complete(operation.get(), recorded)
-                    .whenComplete((done, failure) -> context().runOnContext(nothing -> finish(answer)));
         }
 
         @Override
         public void failed(AttemptFailure failure) {
             dispatcher().record(failure.event(), ticket().id() + " on " + upstream.name() + ": " + failure.message());
+            attempting = false;
+            if (begun && wasSent()) {
+                dispatcher().journal().leaveInDoubt(operation.orElseThrow(), ticket().id());
+            }
             if (ended()) {
+                withdrawUnsent();
                 return;
             }
             if (mayTryAgain(failure)) {
                 tryAnotherWorker();
                 return;
             }
-            if (begun && !wasSent()) {
-                withdraw();
-            }
             endWithRefusal(refusalOf(failure));
         }
     }
 
+    /** The caller waits a while for the outcome to be durable; the journal goes on trying after that. */
+    private void record(PlainAnswer answer) {
+        RecordedAnswer recorded = new RecordedAnswer(
+                answer.status(), answer.contentType(), answer.body().toString());
+        dispatcher()
+                .journal()
+                .complete(operation.orElseThrow(), ticket().id(), recorded)
+                .whenComplete((done, failure) -> context().runOnContext(nothing -> finish(answer)));
+        context().owner().setTimer(OUTCOME_WAIT_MILLIS, timer -> context().runOnContext(nothing -> finish(answer)));
+    }
+
     private void finish(PlainAnswer answer) {
         if (ended()) {
             return;
@@ -143,7 +192,15 @@
         sink().answered(answer);
     }
 
-    private void withdraw() {
-        dispatcher().journal().withdraw(operation.orElseThrow());
+    @Override
+    void afterEnd() {
+        withdrawUnsent();
+    }
+
+    private void withdrawUnsent() {
+        if (begun && !withdrawn && !attempting && !wasSent()) {
+            withdrawn = true;
+            dispatcher().journal().withdraw(operation.orElseThrow(), ticket().id());
+        }
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/PlainServiceRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/PlainServiceRequest.java
@@ -12,6 +12,7 @@
  * @param ticket the request as admission sees it
  * @param upstreamRequest the request as it goes to the upstream
  * @param operation the operation, if the request is non-idempotent and has a key
+ * @param statusPath where the service tells by key whether an operation ran, if it can
  * @param context the caller's context
  * @param sink where the answer goes
  */
@@ -19,5 +20,6 @@
         Ticket ticket,
         PlainRequest upstreamRequest,
         Optional<OperationKey> operation,
+        Optional<String> statusPath,
         Context context,
         AnswerSink sink) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/PlatformClient.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/PlatformClient.java
@@ -35,6 +35,9 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int CONDITION_FAILED = 412;
+    private static final int TOO_LARGE = 413;
+    private static final int TOO_MANY_CALLS = 429;
+    private static final int UNAVAILABLE = 503;
 
     private final HttpClient client;
     private final String url;
@@ -108,7 +111,8 @@
         return switch (answer.status()) {
             case OK -> new WriteResult.Written(version(answer.etag()));
             case CONDITION_FAILED -> new WriteResult.Conflict();
-            default -> new WriteResult.Unavailable("status " + answer.status());
+            case TOO_LARGE, TOO_MANY_CALLS, UNAVAILABLE -> new WriteResult.Unavailable("status " + answer.status());
+            default -> new WriteResult.Unknown("status " + answer.status());
         };
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/SingleWriteOperationJournal.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/SingleWriteOperationJournal.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.entry.platform;
 
+import io.lagoonseam.core.operation.BeginRequest;
 import io.lagoonseam.core.operation.BeginResult;
 import io.lagoonseam.core.operation.OperationJournal;
 import io.lagoonseam.core.operation.OperationKey;
@@ -11,7 +12,6 @@
 import io.lagoonseam.entry.configuration.KeyHash;
 import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -37,8 +37,9 @@
     }
 
     @Override
-    public CompletionStage<BeginResult> begin(OperationKey key) {
-        String token = UUID.randomUUID().toString();
+    public CompletionStage<BeginResult> begin(BeginRequest request) {
+        OperationKey key = request.key();
+        String token = request.attemptId();
         JsonObject intent = new JsonObject()
                 .put("requestDigest", key.requestDigest())
                 .put("token", token)
@@ -65,21 +66,24 @@
         if (!kept.getString("requestDigest").equals(key.requestDigest())) {
             return new BeginResult.Mismatched();
         }
-        if (kept.getString("token").equals(token)) {
+        if ("begun".equals(kept.getString("state")) && kept.getString("token").equals(token)) {
             return new BeginResult.Started();
         }
         if ("completed".equals(kept.getString("state"))) {
             return new BeginResult.Completed(new RecordedAnswer(
                     kept.getInteger("httpStatus"), kept.getString("contentType"), kept.getString("body")));
         }
+        if ("ran".equals(kept.getString("state"))) {
+            return new BeginResult.RanBefore();
+        }
         return new BeginResult.InDoubt();
     }
 
     @Override
-    public CompletionStage<Void> complete(OperationKey key, RecordedAnswer answer) {
+    public CompletionStage<Void> complete(OperationKey key, String attemptId, RecordedAnswer answer) {
         JsonObject outcome = new JsonObject()
                 .put("requestDigest", key.requestDigest())
-                .put("token", "")
+                .put("token", attemptId)
                 .put("state", "completed")
                 .put("httpStatus", answer.httpStatus())
                 .put("contentType", answer.contentType())
@@ -89,7 +93,22 @@
     }
 
     @Override
-    public CompletionStage<Void> withdraw(OperationKey key) {
+    public CompletionStage<Void> confirmRan(OperationKey key) {
+        JsonObject outcome = new JsonObject()
+                .put("requestDigest", key.requestDigest())
+                .put("token", "")
+                .put("state", "ran");
+        return store.write(objectName(key), bytes(outcome), new WriteCondition.Always())
+                .thenApply(SingleWriteOperationJournal::requireWritten);
+    }
+
+    @Override
+    public void leaveInDoubt(OperationKey key, String attemptId) {
+        // The intent stays as it is, and duplicates find it in doubt.
+    }
+
+    @Override
+    public CompletionStage<Void> withdraw(OperationKey key, String attemptId) {
         return store.delete(objectName(key), new WriteCondition.Always())
                 .thenApply(SingleWriteOperationJournal::requireWritten);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
@@ -14,6 +14,8 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 
 /** Calls upstreams over HTTP. */
 public final class UpstreamClient {
@@ -168,6 +170,22 @@
         listener.answered(identified.answer());
     }
 
+    /**
+     * Asks a plain service whether an operation ran.
+     *
+     * @param upstream the upstream
+     * @param statusPath where it tells
+     * @param key the idempotency key
+     * @return whether it says that the operation ran; a "no" does not rule out that it will
+     */
+    public Future<Boolean> readRan(Upstream upstream, String statusPath, String key) {
+        String path = statusPath + "/" + URLEncoder.encode(key, StandardCharsets.UTF_8);
+        return client.request(options(HttpMethod.GET, upstream, path))
+                .compose(request -> request.idleTimeout(REPORT_TIMEOUT_MILLIS).send())
+                .compose(HttpClientResponse::body)
+                .map(body -> new JsonObject(body).getBoolean("ran", false));
+    }
+
     /**
      * Reads an upstream's load report.
      *
