--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/ActionDriver.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/ActionDriver.java
@@ -20,6 +20,7 @@
     private static final long ACTION_MILLIS = 20;
     private static final long RESEND_MILLIS = 5_000;
     private static final long MILLIS_PER_SECOND = 1_000;
+    private static final int CHECK_TRIES = 5;
     private static final int ATTEMPTS_PER_KEY = 4;
     private static final long DAY_MILLIS = 86_400_000;
 
@@ -148,13 +149,22 @@
 
     /** Asks for every key once more; run after all faults have ended. */
     public void checkAll() {
-        for (String key : keys) {
-            SimulatedNode node = nodes.get();
-            OperationKey operation = new OperationKey("zagreb", key, "digest-of-" + key);
-            node.journal()
-                    .begin(new BeginRequest(operation, "check-" + key, Tier.BATCH, BEGIN_WAIT_MILLIS))
-                    .thenAccept(result -> checkFinal(key, result));
-        }
+        keys.forEach(key -> check(key, CHECK_TRIES));
+    }
+
+    private void check(String key, int triesLeft) {
+        OperationKey operation = new OperationKey("zagreb", key, "digest-of-" + key);
+        String attemptId = "check-" + key + '-' + triesLeft;
+        nodes.get()
+                .journal()
+                .begin(new BeginRequest(operation, attemptId, Tier.BATCH, BEGIN_WAIT_MILLIS))
+                .thenAccept(result -> {
+                    if (result instanceof BeginResult.Unavailable && triesLeft > 1) {
+                        time.schedule(MILLIS_PER_SECOND, () -> check(key, triesLeft - 1));
+                    } else {
+                        checkFinal(key, result);
+                    }
+                });
     }
 
     private void checkFinal(String key, BeginResult result) {
@@ -168,7 +178,7 @@
             oracle.toldRan(key);
         }
         if (result instanceof BeginResult.Started && oracle.wasSent(key)) {
-            oracle.ran(key);
+            oracle.sent(key, "check-" + key);
         }
     }
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/ActionOracle.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/ActionOracle.java
@@ -15,13 +15,16 @@
     private final Set<String> notRunAttempts = new HashSet<>();
     private final Set<String> sentKeys = new HashSet<>();
     private final Set<String> notRunKeys = new HashSet<>();
+    private long keysSentTwice;
     private long falseNotRun;
     private long falseRan;
     private long answersLost;
     private long wrongAnswers;
 
     void sent(String key, String attemptId) {
-        sentKeys.add(key);
+        if (!sentKeys.add(key)) {
+            keysSentTwice++;
+        }
         sentAttempts.add(attemptId);
         if (notRunAttempts.contains(attemptId)) {
             falseNotRun++;
@@ -81,6 +84,15 @@
         return runs.values().stream().filter(count -> count > 1).count();
     }
 
+    /**
+     * Returns how often a key was sent again.
+     *
+     * @return a number of requests
+     */
+    public long keysSentTwice() {
+        return keysSentTwice;
+    }
+
     /**
      * Returns the attempts that were reported as not run and had been sent.
      *
@@ -150,6 +162,6 @@
      * @return a number of violations
      */
     public long violations() {
-        return actionsRunTwice() + falseNotRun + falseRan + answersLost + wrongAnswers;
+        return actionsRunTwice() + keysSentTwice + falseNotRun + falseRan + answersLost + wrongAnswers;
     }
 }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/FaultSchedule.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/FaultSchedule.java
@@ -7,6 +7,7 @@
 
     private static final long STEP_MILLIS = 1_500;
     private static final long PAUSE_MILLIS = 6_000;
+    private static final long OUTAGE_MILLIS = 3_000;
     private static final long SLOW_MILLIS = 400;
     private static final long FAST_MILLIS = 5;
     private static final double LOSE_SHARE = 0.3;
@@ -65,6 +66,7 @@
     private void outage() {
         outages++;
         store.faults(FAST_MILLIS, true, 0);
+        time.schedule(OUTAGE_MILLIS, () -> store.faults(FAST_MILLIS, false, 0));
     }
 
     private void crash() {
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/operation/JournalFuzzTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/operation/JournalFuzzTest.java
@@ -42,6 +42,7 @@
         ActionOracle oracle = driver.oracle();
         String detail = faults.summary() + ", ran " + oracle.keysRun();
         assertEquals(oracle.actionsRunTwice(), 0, detail);
+        assertEquals(oracle.keysSentTwice(), 0, detail);
         assertEquals(oracle.falseNotRun(), 0, detail);
         assertEquals(oracle.falseRan(), 0, detail);
         assertEquals(oracle.answersLost(), 0, detail);
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/BeginResult.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/BeginResult.java
@@ -33,5 +33,9 @@
      *
      * @param retryAfterMillis when to come back
      */
-    record Unavailable(long retryAfterMillis) implements BeginResult {}
+    record Unavailable(long retryAfterMillis) implements BeginResult {
+
+        /** Another node has become the owner; the same attempt may ask again at once. */
+        public static final Unavailable MOVED = new Unavailable(0);
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/ShardedOperationJournal.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/ShardedOperationJournal.java
@@ -72,8 +72,10 @@
 
     private CompletionStage<BeginResult> begin(BeginRequest request, boolean mayRepeat) {
         return ask(new OperationMessage.Begin(request)).thenCompose(reply -> {
-            if (reply.isPresent() && reply.get() instanceof OperationReply.Began began) {
-                return CompletableFuture.completedFuture(began.result());
+            boolean began = reply.isPresent() && reply.get() instanceof OperationReply.Began;
+            BeginResult result = began ? ((OperationReply.Began) reply.get()).result() : BeginResult.Unavailable.MOVED;
+            if (!result.equals(BeginResult.Unavailable.MOVED)) {
+                return CompletableFuture.completedFuture(result);
             }
             return mayRepeat
                     ? begin(request, false)
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/JournalShard.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/JournalShard.java
@@ -31,7 +31,8 @@
     private enum Phase {
         CLOSED,
         OPENING,
-        OWNED
+        OWNED,
+        CLOSING
     }
 
     private final RankedLock lock = new RankedLock(LockRank.JOURNAL);
@@ -94,16 +95,11 @@
      * @return what the journal says
      */
     public CompletionStage<BeginResult> begin(BeginRequest request) {
-        CompletableFuture<BeginResult> result = new CompletableFuture<>();
-        timers.schedule(request.waitMillis(), () -> result.complete(unavailable()));
-        open().thenAccept(owned -> {
-            if (!owned) {
-                result.complete(unavailable());
-            } else if (!result.isDone()) {
-                beginOwned(request).thenAccept(result::complete);
-            }
-        });
-        return result;
+        CompletableFuture<Boolean> opened = new CompletableFuture<>();
+        timers.schedule(request.waitMillis(), () -> opened.complete(false));
+        open().thenAccept(opened::complete);
+        return opened.thenCompose(
+                owned -> owned ? beginOwned(request) : CompletableFuture.completedFuture(unavailable()));
     }
 
     private static BeginResult unavailable() {
@@ -116,7 +112,26 @@
             timers.schedule(request.waitMillis(), () -> table.expire(request, answer));
             flush();
         }
-        return answer;
+        return answer.thenCompose(result ->
+                result instanceof BeginResult.InDoubt ? confirmDoubt() : CompletableFuture.completedFuture(result));
+    }
+
+    /** A later owner may know the outcome that this one doubts. */
+    private CompletionStage<BeginResult> confirmDoubt() {
+        return log.findSuccessor().thenApply(successor -> {
+            if (successor.isEmpty()) {
+                return new BeginResult.InDoubt();
+            }
+            boolean idle = lock.call(() -> {
+                boolean owned = phase == Phase.OWNED && !writing;
+                phase = owned ? Phase.CLOSING : phase;
+                return owned;
+            });
+            if (idle) {
+                giveUp(List.of(), successor.get().owner());
+            }
+            return BeginResult.Unavailable.MOVED;
+        });
     }
 
     /**
@@ -170,30 +185,46 @@
                 opened.complete(true);
                 return false;
             }
-            if (phase == Phase.CLOSED && time.monotonicMillis() < nextCallMillis) {
+            boolean backsOff = failures > 0 && time.monotonicMillis() < nextCallMillis;
+            if (phase == Phase.CLOSED && backsOff) {
                 opened.complete(false);
                 return false;
             }
             awaitingOpen.add(opened);
             boolean first = phase == Phase.CLOSED;
-            phase = Phase.OPENING;
+            if (first) {
+                phase = Phase.OPENING;
+            }
             return first;
         });
         if (start) {
-            log.open().whenComplete((result, failure) -> opened(result));
+            startOpening();
         }
         return opened;
     }
 
+    /** Takes the shard over, not sooner after the last call than a write may follow another. */
+    private void startOpening() {
+        long waitMillis = lock.call(() -> {
+            long left = Math.max(0, nextCallMillis - time.monotonicMillis());
+            nextCallMillis = time.monotonicMillis() + left + options.writeIntervalMillis();
+            return left;
+        });
+        timers.schedule(waitMillis, () -> log.open().whenComplete((result, failure) -> opened(result)));
+    }
+
     private void opened(OpenResult result) {
         boolean owned = result instanceof OpenResult.Opened;
         if (result instanceof OpenResult.Opened opened) {
+            table.clear(List.of());
             table.load(opened.segments());
         }
         List<CompletableFuture<Boolean>> waiting = lock.call(() -> {
             phase = owned ? Phase.OWNED : Phase.CLOSED;
             failures = owned ? 0 : failures + 1;
-            nextCallMillis = time.monotonicMillis() + (owned ? 0 : backoff.delayMillis(failures));
+            if (!owned) {
+                nextCallMillis = Math.max(nextCallMillis, time.monotonicMillis() + backoff.delayMillis(failures));
+            }
             List<CompletableFuture<Boolean>> copy = List.copyOf(awaitingOpen);
             awaitingOpen.clear();
             return copy;
@@ -236,13 +267,25 @@
                 .whenComplete((result, failure) -> written(batch, result));
     }
 
+    /** Nobody may open the shard again before the table is empty. */
+    private void giveUp(List<PendingRecord> batch, String owner) {
+        onFenced.accept(owner);
+        lock.run(() -> phase = Phase.CLOSING);
+        table.clear(batch);
+        boolean wanted = lock.call(() -> {
+            phase = awaitingOpen.isEmpty() ? Phase.CLOSED : Phase.OPENING;
+            return phase == Phase.OPENING;
+        });
+        if (wanted) {
+            startOpening();
+        }
+    }
+
     private void written(List<PendingRecord> batch, AppendResult result) {
         if (result instanceof AppendResult.Appended appended) {
             table.appended(batch, appended.segment());
         } else if (result instanceof AppendResult.Fenced fenced) {
-            onFenced.accept(fenced.owner());
-            lock.run(() -> phase = Phase.CLOSED);
-            table.clear(batch);
+            giveUp(batch, fenced.owner());
         } else {
             table.refused(batch);
         }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationEntry.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationEntry.java
@@ -42,6 +42,7 @@
     long segment;
     boolean taken;
     CompletableFuture<Void> outcomeDurable;
+    String otherAttempt = "";
 
     OperationEntry(OperationKey key, String attemptId, Tier tier, State state) {
         this.key = key;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationTable.java
@@ -175,7 +175,7 @@
         return change(notices, () -> {
             OperationEntry entry = entries.computeIfAbsent(
                     Binding.of(key), binding -> new OperationEntry(key, attemptId, Tier.STANDARD, State.IN_DOUBT));
-            checkAttempt(entry, attemptId);
+            noteAttempt(entry, attemptId);
             Optional<RecordedAnswer> kept = answer.filter(this::isKept);
             boolean learnsNothing = entry.state == State.COMPLETED || entry.state == State.RAN && kept.isEmpty();
             if (!learnsNothing) {
@@ -185,17 +185,22 @@
         });
     }
 
-    private void checkAttempt(OperationEntry entry, String attemptId) {
-        boolean sameAttempt = attemptId.isEmpty() || entry.attemptId.isEmpty() || entry.attemptId.equals(attemptId);
-        invariants.check(
-                Invariant.AT_MOST_ONCE,
-                sameAttempt,
-                "attempts " + entry.attemptId + " and " + attemptId + " of " + entry.key.key());
+    private static void noteAttempt(OperationEntry entry, String attemptId) {
         if (entry.attemptId.isEmpty()) {
             entry.attemptId = attemptId;
+        } else if (!attemptId.isEmpty() && !entry.attemptId.equals(attemptId)) {
+            entry.otherAttempt = attemptId;
         }
     }
 
+    /** Only a durable write shows that this table was not that of an owner already succeeded. */
+    private void checkAttempt(OperationEntry entry) {
+        invariants.check(
+                Invariant.AT_MOST_ONCE,
+                entry.otherAttempt.isEmpty(),
+                "attempts " + entry.attemptId + " and " + entry.otherAttempt + " of " + entry.key.key());
+    }
+
     private boolean isKept(RecordedAnswer answer) {
         return answer.body().length() <= options.answerMaxBytes().getAsInt();
     }
@@ -321,6 +326,7 @@
                 OperationEntry entry = entryOf(item);
                 if (entry != null && entry.attemptId.equals(item.content().attemptId())) {
                     entry.segment = segment;
+                    checkAttempt(entry);
                 }
                 if (item.isIntent()) {
                     intentDurable(entry, item, notices);
@@ -381,7 +387,8 @@
             outcomes.clear();
             intents.values().forEach(Deque::clear);
             for (OperationEntry entry : entries.values()) {
-                BeginResult word = entry.state == State.PENDING ? UNAVAILABLE : new BeginResult.InDoubt();
+                BeginResult word =
+                        entry.state == State.PENDING ? BeginResult.Unavailable.MOVED : new BeginResult.InDoubt();
                 entry.takeWaiters().forEach(waiter -> notices.add(waiter.answer(), word));
             }
             entries.clear();
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardLog.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardLog.java
@@ -10,6 +10,7 @@
 import io.lagoonseam.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongFunction;
@@ -137,6 +138,18 @@
                 });
     }
 
+    /** Finds out whether another owner has taken the shard over; empty if not, or if the platform does not say. */
+    CompletionStage<Optional<AppendResult.Fenced>> findSuccessor() {
+        long epoch = head.epoch();
+        return store.read(name).thenApply(read -> {
+            if (!(read instanceof ReadResult.Found found)) {
+                return Optional.empty();
+            }
+            ShardHead stored = ShardHead.decode(found.value());
+            return stored.epoch() > epoch ? Optional.of(new AppendResult.Fenced(stored.owner())) : Optional.empty();
+        });
+    }
+
     private CompletionStage<AppendResult> put(ShardHead next, WriteCondition condition) {
         return store.write(name, next.encode(), condition).thenCompose(result -> {
             if (result instanceof WriteResult.Written written) {
