--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,12 +1,17 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.cost.RouterCostExperiment;
+import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.operation.DuplicatesExperiment;
+import io.lagoonseam.bench.operation.OutageExperiment;
 import java.util.List;
 import java.util.Optional;
 
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of();
+    private static final List<Experiment> ALL = List.of(
+            new BurstExperiment(), new RouterCostExperiment(), new DuplicatesExperiment(), new OutageExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/SimulatedFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/SimulatedFleet.java
@@ -22,6 +22,7 @@
 public final class SimulatedFleet {
 
     private static final long PEER_MILLIS = 1;
+    private static final int DATA_CENTRES = 2;
     private static final long MEMBERSHIP_LAG_MILLIS = 700;
 
     private final List<SimulatedNode> nodes = new ArrayList<>();
@@ -74,7 +75,8 @@
     }
 
     private static Member member(String nodeId) {
-        return new Member(nodeId, "zg-a", "127.0.0.1", 0, 0, MemberState.ALIVE);
+        int number = Integer.parseInt(nodeId.substring(nodeId.indexOf('-') + 1));
+        return new Member(nodeId, number % DATA_CENTRES == 0 ? "zg-a" : "zg-b", "127.0.0.1", 0, 0, MemberState.ALIVE);
     }
 
     private final class Directory implements MemberDirectory {
@@ -92,7 +94,10 @@
 
         @Override
         public List<Member> liveMembers() {
-            return live.stream().map(SimulatedFleet::member).toList();
+            return live.stream()
+                    .map(SimulatedFleet::member)
+                    .filter(other -> other.dataCentre().equals(self.dataCentre()))
+                    .toList();
         }
 
         @Override
@@ -105,7 +110,7 @@
             SimulatedNode sender, String nodeId, OperationMessage message, long timeoutMillis) {
         CompletableFuture<OwnerClient.ForwardResult> result = new CompletableFuture<>();
         Optional<SimulatedNode> receiver = nodes.stream()
-                .filter(node -> node.nodeId().equals(nodeId) && !node.hasCrashed())
+                .filter(node -> nodeId.equals(OwnerClient.nameOf(member(node.nodeId()))) && !node.hasCrashed())
                 .findFirst();
         if (receiver.isEmpty()) {
             time.schedule(PEER_MILLIS, () -> sender.deliver(() -> result.complete(noReply(false))));
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/VirtualTime.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/operation/VirtualTime.java
@@ -1,13 +1,13 @@
 package io.lagoonseam.bench.operation;
 
-import io.lagoonseam.core.time.DelayedExecutor;
 import io.lagoonseam.core.time.TimeSource;
+import io.lagoonseam.core.time.Timers;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 
 /** A clock that moves from task to task, in one thread. */
-public final class VirtualTime implements TimeSource, DelayedExecutor {
+public final class VirtualTime implements TimeSource, Timers {
 
     private record Task(long dueMillis, long sequence, Runnable action) {}
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/OperationReply.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/OperationReply.java
@@ -1,7 +1,8 @@
 package io.lagoonseam.core.operation;
 
 /** What the owner of a shard answers. */
-public sealed interface OperationReply permits OperationReply.Began, OperationReply.Done, OperationReply.Failed {
+public sealed interface OperationReply
+        permits OperationReply.Began, OperationReply.Done, OperationReply.Moved, OperationReply.Failed {
 
     /**
      * The answer to {@link OperationMessage.Begin}.
@@ -13,6 +14,13 @@
     /** What was asked is durable. */
     record Done() implements OperationReply {}
 
+    /**
+     * The shard has another owner.
+     *
+     * @param owner the owner, empty if it is not known
+     */
+    record Moved(String owner) implements OperationReply {}
+
     /** What was asked could not be made durable. */
     record Failed() implements OperationReply {}
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/OwnerClient.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/OwnerClient.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.core.operation;
 
+import io.lagoonseam.core.membership.Member;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -9,9 +10,19 @@
 public interface OwnerClient {
 
     /** Reaches nobody, for a node without peers. */
-    OwnerClient NONE = (nodeId, message, timeoutMillis) ->
+    OwnerClient NONE = (owner, message, timeoutMillis) ->
             CompletableFuture.completedFuture(new ForwardResult(false, Optional.empty()));
 
+    /**
+     * Returns the name of an owner, which says where it is.
+     *
+     * @param member the node
+     * @return its data centre and its name
+     */
+    static String nameOf(Member member) {
+        return member.dataCentre() + '/' + member.nodeId();
+    }
+
     /**
      * What came of a question.
      *
@@ -23,10 +34,10 @@
     /**
      * Asks a node.
      *
-     * @param nodeId the node
+     * @param owner the node, as {@link #nameOf} gives it
      * @param message the question
      * @param timeoutMillis the longest wait
      * @return what came of it; always completes normally
      */
-    CompletionStage<ForwardResult> forward(String nodeId, OperationMessage message, long timeoutMillis);
+    CompletionStage<ForwardResult> forward(String owner, OperationMessage message, long timeoutMillis);
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/ShardedOperationJournal.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/ShardedOperationJournal.java
@@ -21,12 +21,12 @@
     private static final long FORWARD_TIMEOUT_MILLIS = 1_500;
     private static final long BACKOFF_BASE_MILLIS = 100;
     private static final long BACKOFF_CAP_MILLIS = 2_000;
+    private static final int HOPS = 3;
     private static final int WITHDRAW_TRIES = 10;
 
     private final List<JournalShard> shards = new ArrayList<>();
     private final ShardRoutes routes;
     private final OwnerClient owners;
-    private final String self;
     private final JournalShard.Environment environment;
     private final JitteredBackoff backoff;
     private final AtomicInteger unrecorded = new AtomicInteger();
@@ -40,14 +40,18 @@
      */
     public ShardedOperationJournal(MemberDirectory members, OwnerClient owners, JournalShard.Environment environment) {
         int count = environment.options().shards();
-        this.self = members.self().nodeId();
         this.owners = owners;
         this.environment = environment;
         this.routes = new ShardRoutes(members, count);
         this.backoff = new JitteredBackoff(BACKOFF_BASE_MILLIS, BACKOFF_CAP_MILLIS, environment.random());
         for (int number = 0; number < count; number++) {
             int shard = number;
-            shards.add(new JournalShard(number, self, environment, owner -> routes.learn(shard, owner)));
+            shards.add(new JournalShard(
+                    number,
+                    routes.self(),
+                    environment,
+                    new JournalShard.Places(
+                            owner -> routes.yieldsTo(shard, owner), owner -> routes.learn(shard, owner))));
         }
     }
 
@@ -71,11 +75,9 @@
     }
 
     private CompletionStage<BeginResult> begin(BeginRequest request, boolean mayRepeat) {
-        return ask(new OperationMessage.Begin(request)).thenCompose(reply -> {
-            boolean began = reply.isPresent() && reply.get() instanceof OperationReply.Began;
-            BeginResult result = began ? ((OperationReply.Began) reply.get()).result() : BeginResult.Unavailable.MOVED;
-            if (!result.equals(BeginResult.Unavailable.MOVED)) {
-                return CompletableFuture.completedFuture(result);
+        return ask(new OperationMessage.Begin(request), HOPS).thenCompose(reply -> {
+            if (reply.isPresent() && reply.get() instanceof OperationReply.Began began) {
+                return CompletableFuture.completedFuture(began.result());
             }
             return mayRepeat
                     ? begin(request, false)
@@ -83,15 +85,26 @@
         });
     }
 
-    /** Asks the owner; a node that cannot be reached loses the shard to this one. */
-    private CompletionStage<Optional<OperationReply>> ask(OperationMessage message) {
+    /** Asks the owner, and the owner that this one names. */
+    private CompletionStage<Optional<OperationReply>> ask(OperationMessage message, int hops) {
         int shard = routes.shardOf(message.key());
         String owner = routes.ownerOf(shard);
-        if (owner.equals(self)) {
-            return answer(message).thenApply(Optional::of);
-        }
+        CompletionStage<Optional<OperationReply>> asked =
+                owner.equals(routes.self()) ? answer(message).thenApply(Optional::of) : forward(shard, owner, message);
+        return asked.thenCompose(reply -> {
+            if (reply.isEmpty() || !(reply.get() instanceof OperationReply.Moved moved)) {
+                return CompletableFuture.completedFuture(reply);
+            }
+            routes.learn(shard, moved.owner());
+            return hops > 1 ? ask(message, hops - 1) : CompletableFuture.completedFuture(Optional.empty());
+        });
+    }
+
+    /** A node that cannot be reached loses the shard to this one. */
+    private CompletionStage<Optional<OperationReply>> forward(int shard, String owner, OperationMessage message) {
         return owners.forward(owner, message, FORWARD_TIMEOUT_MILLIS).thenCompose(result -> {
             if (result.sent()) {
+                routes.heard(shard, result.reply().isPresent());
                 return CompletableFuture.completedFuture(result.reply());
             }
             routes.takeOver(shard);
@@ -106,24 +119,33 @@
      * @return the answer; always completes normally
      */
     public CompletionStage<OperationReply> answer(OperationMessage message) {
-        JournalShard shard = shards.get(routes.shardOf(message.key()));
+        int number = routes.shardOf(message.key());
+        JournalShard shard = shards.get(number);
         if (message instanceof OperationMessage.Begin begin) {
-            return shard.begin(begin.request()).thenApply(OperationReply.Began::new);
+            return shard.begin(begin.request())
+                    .thenApply(result -> result.equals(BeginResult.Unavailable.MOVED)
+                            ? new OperationReply.Moved(routes.ownerOf(number))
+                            : new OperationReply.Began(result));
         }
         if (message instanceof OperationMessage.Complete complete) {
-            return reply(shard.complete(complete.key(), complete.attemptId(), complete.answer()));
+            return reply(number, shard.complete(complete.key(), complete.attemptId(), complete.answer()));
         }
         if (message instanceof OperationMessage.Withdraw withdraw) {
-            return reply(shard.withdraw(withdraw.key(), withdraw.attemptId()));
+            return reply(number, shard.withdraw(withdraw.key(), withdraw.attemptId()));
         }
         OperationMessage.LeaveInDoubt leave = (OperationMessage.LeaveInDoubt) message;
         shard.leaveInDoubt(leave.key(), leave.attemptId());
         return CompletableFuture.completedFuture(new OperationReply.Done());
     }
 
-    private static CompletionStage<OperationReply> reply(CompletionStage<Void> durable) {
-        return durable.handle(
-                (done, failure) -> failure == null ? new OperationReply.Done() : new OperationReply.Failed());
+    private CompletionStage<OperationReply> reply(int shard, CompletionStage<Void> durable) {
+        return durable.handle((done, failure) -> {
+            if (failure == null) {
+                return new OperationReply.Done();
+            }
+            String owner = routes.ownerOf(shard);
+            return owner.equals(routes.self()) ? new OperationReply.Failed() : new OperationReply.Moved(owner);
+        });
     }
 
     @Override
@@ -148,7 +170,7 @@
 
     @Override
     public void leaveInDoubt(OperationKey key, String attemptId) {
-        ask(new OperationMessage.LeaveInDoubt(key, attemptId));
+        ask(new OperationMessage.LeaveInDoubt(key, attemptId), 1);
     }
 
     private CompletionStage<Void> makeDurable(OperationMessage message, int tries) {
@@ -158,7 +180,7 @@
     }
 
     private void attempt(OperationMessage message, int failures, int tries, CompletableFuture<Void> durable) {
-        ask(message).whenComplete((reply, failure) -> {
+        ask(message, HOPS).whenComplete((reply, failure) -> {
             if (failure == null && reply.isPresent() && reply.get() instanceof OperationReply.Done) {
                 durable.complete(null);
             } else if (failures + 1 >= tries) {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/JournalShard.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/JournalShard.java
@@ -10,8 +10,8 @@
 import io.lagoonseam.core.operation.RecordedAnswer;
 import io.lagoonseam.core.platform.ObjectStore;
 import io.lagoonseam.core.retry.JitteredBackoff;
-import io.lagoonseam.core.time.DelayedExecutor;
 import io.lagoonseam.core.time.TimeSource;
+import io.lagoonseam.core.time.Timers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /** One shard at one node: taken over when first needed, written in groups, given up when fenced. */
@@ -35,15 +36,21 @@
         CLOSING
     }
 
+    private enum Access {
+        OWNED,
+        MOVED,
+        REFUSED
+    }
+
     private final RankedLock lock = new RankedLock(LockRank.JOURNAL);
-    private final List<CompletableFuture<Boolean>> awaitingOpen = new ArrayList<>();
+    private final List<CompletableFuture<Access>> awaitingOpen = new ArrayList<>();
     private final TimeSource time;
-    private final DelayedExecutor timers;
+    private final Timers timers;
     private final JournalOptions options;
     private final ShardLog log;
     private final OperationTable table;
     private final JitteredBackoff backoff;
-    private final Consumer<String> onFenced;
+    private final Places places;
     private Phase phase = Phase.CLOSED;
     private boolean writing;
     private boolean scheduled;
@@ -56,13 +63,13 @@
      * @param number its number
      * @param owner this node
      * @param environment what the shard works with
-     * @param onFenced hears the owner that took the shard over, empty if it is not known
+     * @param places what this shard and its node's routes tell each other
      */
-    public JournalShard(int number, String owner, Environment environment, Consumer<String> onFenced) {
+    public JournalShard(int number, String owner, Environment environment, Places places) {
         this.time = environment.time();
         this.timers = environment.timers();
         this.options = environment.options();
-        this.onFenced = onFenced;
+        this.places = places;
         this.log = new ShardLog(
                 "journal/shard-" + number, owner, environment.store(), time, timers, environment.random(), options);
         this.table = new OperationTable(time, environment.invariants(), options);
@@ -70,6 +77,14 @@
         this.nextCallMillis = time.monotonicMillis();
     }
 
+    /**
+     * What a shard and the routes of its node tell each other.
+     *
+     * @param yieldsTo whether an owner that is found is left alone
+     * @param onMoved hears the owner that has the shard, empty if it is not known
+     */
+    public record Places(Predicate<String> yieldsTo, Consumer<String> onMoved) {}
+
     /**
      * What a shard works with.
      *
@@ -83,7 +98,7 @@
     public record Environment(
             ObjectStore store,
             TimeSource time,
-            DelayedExecutor timers,
+            Timers timers,
             RandomGenerator random,
             InvariantMonitor invariants,
             JournalOptions options) {}
@@ -95,11 +110,14 @@
      * @return what the journal says
      */
     public CompletionStage<BeginResult> begin(BeginRequest request) {
-        CompletableFuture<Boolean> opened = new CompletableFuture<>();
-        timers.schedule(request.waitMillis(), () -> opened.complete(false));
+        CompletableFuture<Access> opened = new CompletableFuture<>();
+        timers.schedule(request.waitMillis(), () -> opened.complete(Access.REFUSED));
         open().thenAccept(opened::complete);
-        return opened.thenCompose(
-                owned -> owned ? beginOwned(request) : CompletableFuture.completedFuture(unavailable()));
+        return opened.thenCompose(access -> switch (access) {
+            case OWNED -> beginOwned(request);
+            case MOVED -> CompletableFuture.completedFuture(BeginResult.Unavailable.MOVED);
+            case REFUSED -> CompletableFuture.completedFuture(unavailable());
+        });
     }
 
     private static BeginResult unavailable() {
@@ -168,8 +186,8 @@
     }
 
     private CompletionStage<Void> whenOwned(Function<OperationTable, CompletionStage<Void>> action) {
-        return open().thenCompose(owned -> {
-            if (!owned) {
+        return open().thenCompose(access -> {
+            if (access != Access.OWNED) {
                 return CompletableFuture.failedFuture(new IllegalStateException("the shard cannot be opened now"));
             }
             CompletionStage<Void> durable = action.apply(table);
@@ -178,16 +196,16 @@
         });
     }
 
-    private CompletionStage<Boolean> open() {
-        CompletableFuture<Boolean> opened = new CompletableFuture<>();
+    private CompletionStage<Access> open() {
+        CompletableFuture<Access> opened = new CompletableFuture<>();
         boolean start = lock.call(() -> {
             if (phase == Phase.OWNED) {
-                opened.complete(true);
+                opened.complete(Access.OWNED);
                 return false;
             }
             boolean backsOff = failures > 0 && time.monotonicMillis() < nextCallMillis;
             if (phase == Phase.CLOSED && backsOff) {
-                opened.complete(false);
+                opened.complete(Access.REFUSED);
                 return false;
             }
             awaitingOpen.add(opened);
@@ -210,26 +228,32 @@
             nextCallMillis = time.monotonicMillis() + left + options.writeIntervalMillis();
             return left;
         });
-        timers.schedule(waitMillis, () -> log.open().whenComplete((result, failure) -> opened(result)));
+        timers.schedule(
+                waitMillis, () -> log.open(places.yieldsTo()).whenComplete((result, failure) -> opened(result)));
     }
 
     private void opened(OpenResult result) {
         boolean owned = result instanceof OpenResult.Opened;
+        boolean held = result instanceof OpenResult.Held;
+        if (result instanceof OpenResult.Held other) {
+            places.onMoved().accept(other.owner());
+        }
         if (result instanceof OpenResult.Opened opened) {
             table.clear(List.of());
             table.load(opened.segments());
         }
-        List<CompletableFuture<Boolean>> waiting = lock.call(() -> {
+        List<CompletableFuture<Access>> waiting = lock.call(() -> {
             phase = owned ? Phase.OWNED : Phase.CLOSED;
-            failures = owned ? 0 : failures + 1;
-            if (!owned) {
+            failures = owned || held ? 0 : failures + 1;
+            if (failures > 0) {
                 nextCallMillis = Math.max(nextCallMillis, time.monotonicMillis() + backoff.delayMillis(failures));
             }
-            List<CompletableFuture<Boolean>> copy = List.copyOf(awaitingOpen);
+            List<CompletableFuture<Access>> copy = List.copyOf(awaitingOpen);
             awaitingOpen.clear();
             return copy;
         });
-        waiting.forEach(future -> future.complete(owned));
+        Access access = held ? Access.MOVED : Access.REFUSED;
+        waiting.forEach(future -> future.complete(owned ? Access.OWNED : access));
     }
 
     /** Writes what is pending, unless a write is under way or was made too recently. */
@@ -269,7 +293,7 @@
 
     /** Nobody may open the shard again before the table is empty. */
     private void giveUp(List<PendingRecord> batch, String owner) {
-        onFenced.accept(owner);
+        places.onMoved().accept(owner);
         lock.run(() -> phase = Phase.CLOSING);
         table.clear(batch);
         boolean wanted = lock.call(() -> {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OpenResult.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OpenResult.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** What came of taking a shard over. */
-sealed interface OpenResult permits OpenResult.Opened, OpenResult.Failed {
+sealed interface OpenResult permits OpenResult.Opened, OpenResult.Held, OpenResult.Failed {
 
     /**
      * This node owns the shard.
@@ -20,6 +20,13 @@
      */
     record LoadedSegment(long number, List<JournalRecord> records) {}
 
+    /**
+     * Another owner has the shard and was left alone.
+     *
+     * @param owner the owner
+     */
+    record Held(String owner) implements OpenResult {}
+
     /** The shard could not be taken over now. */
     record Failed() implements OpenResult {}
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationTable.java
@@ -446,6 +446,11 @@
         });
     }
 
+    /** Returns the state of an operation, if the table holds it. */
+    Optional<State> stateOf(OperationKey key) {
+        return lock.call(() -> Optional.ofNullable(entries.get(Binding.of(key))).map(entry -> entry.state));
+    }
+
     /**
      * Returns the number of operations that the table holds.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardLog.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardLog.java
@@ -6,14 +6,15 @@
 import io.lagoonseam.core.platform.WriteCondition;
 import io.lagoonseam.core.platform.WriteResult;
 import io.lagoonseam.core.retry.JitteredBackoff;
-import io.lagoonseam.core.time.DelayedExecutor;
 import io.lagoonseam.core.time.TimeSource;
+import io.lagoonseam.core.time.Timers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongFunction;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -30,7 +31,7 @@
     private final String owner;
     private final ObjectStore store;
     private final TimeSource time;
-    private final DelayedExecutor timers;
+    private final Timers timers;
     private final RandomGenerator random;
     private final JournalOptions options;
     private final JitteredBackoff backoff;
@@ -42,7 +43,7 @@
             String owner,
             ObjectStore store,
             TimeSource time,
-            DelayedExecutor timers,
+            Timers timers,
             RandomGenerator random,
             JournalOptions options) {
         this.name = name;
@@ -59,11 +60,18 @@
         return owner + '-' + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
     }
 
-    /** Takes the shard over and reads what it holds. */
-    CompletionStage<OpenResult> open() {
+    /**
+     * Takes the shard over and reads what it holds.
+     *
+     * @param yieldsTo whether an owner that is found is left alone
+     */
+    CompletionStage<OpenResult> open(Predicate<String> yieldsTo) {
         return store.read(name).thenCompose(read -> {
             if (read instanceof ReadResult.Found found) {
-                return takeOver(ShardHead.decode(found.value()), new WriteCondition.IfVersion(found.version()));
+                ShardHead stored = ShardHead.decode(found.value());
+                return yieldsTo.test(stored.owner())
+                        ? CompletableFuture.completedFuture(new OpenResult.Held(stored.owner()))
+                        : takeOver(stored, new WriteCondition.IfVersion(found.version()));
             }
             if (read instanceof ReadResult.Absent) {
                 return takeOver(ShardHead.EMPTY, new WriteCondition.IfAbsent());
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardRoutes.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardRoutes.java
@@ -2,10 +2,11 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
-import io.lagoonseam.core.membership.Member;
 import io.lagoonseam.core.membership.MemberDirectory;
 import io.lagoonseam.core.operation.OperationKey;
+import io.lagoonseam.core.operation.OwnerClient;
 import java.util.Comparator;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicReferenceArray;
 
 /** Finds the shard of a key and the node that should own a shard. */
@@ -13,8 +14,11 @@
 
     private static final Hasher64 HASHER = Hashing.komihash5_0();
 
+    private static final int LOST_REPLIES_BEFORE_TAKEOVER = 3;
+
     private final MemberDirectory members;
     private final AtomicReferenceArray<String> knownOwners;
+    private final AtomicIntegerArray lostReplies;
 
     /**
      * Creates routes.
@@ -25,6 +29,7 @@
     public ShardRoutes(MemberDirectory members, int shards) {
         this.members = members;
         this.knownOwners = new AtomicReferenceArray<>(shards);
+        this.lostReplies = new AtomicIntegerArray(shards);
         members.onChange(this::forgetOwners);
     }
 
@@ -34,6 +39,27 @@
         }
     }
 
+    /**
+     * Returns this node.
+     *
+     * @return its name as an owner
+     */
+    public String self() {
+        return OwnerClient.nameOf(members.self());
+    }
+
+    /**
+     * Returns whether an owner is left alone: one of another data centre that has not failed to answer this node.
+     *
+     * @param shard the number of the shard
+     * @param owner the owner
+     * @return whether to ask it rather than to take the shard over
+     */
+    public boolean yieldsTo(int shard, String owner) {
+        boolean elsewhere = !owner.isEmpty() && !owner.startsWith(members.self().dataCentre() + '/');
+        return elsewhere && !self().equals(knownOwners.get(shard));
+    }
+
     /**
      * Returns the shard of an operation.
      *
@@ -57,9 +83,9 @@
             return known;
         }
         return members.liveMembers().stream()
-                .map(Member::nodeId)
-                .max(Comparator.comparingLong(nodeId -> HASHER.hashCharsToLong(nodeId + '\n' + shard)))
-                .orElse(members.self().nodeId());
+                .map(OwnerClient::nameOf)
+                .max(Comparator.comparingLong(name -> HASHER.hashCharsToLong(name + '\n' + shard)))
+                .orElse(self());
     }
 
     /**
@@ -72,12 +98,27 @@
         knownOwners.set(shard, owner.isEmpty() ? null : owner);
     }
 
+    /**
+     * Takes note that an owner answered or did not.
+     *
+     * @param shard the number of the shard
+     * @param answered whether it answered
+     */
+    public void heard(int shard, boolean answered) {
+        if (answered) {
+            lostReplies.set(shard, 0);
+        } else if (lostReplies.incrementAndGet(shard) >= LOST_REPLIES_BEFORE_TAKEOVER) {
+            takeOver(shard);
+        }
+    }
+
     /**
      * Takes note that a node could not be reached, so this node takes the shard over.
      *
      * @param shard its number
      */
     public void takeOver(int shard) {
-        knownOwners.set(shard, members.self().nodeId());
+        lostReplies.set(shard, 0);
+        knownOwners.set(shard, self());
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -6,22 +6,23 @@
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.membership.Member;
-import io.lagoonseam.core.membership.MemberDirectory;
 import io.lagoonseam.core.membership.MemberState;
 import io.lagoonseam.core.membership.SoleMemberDirectory;
-import io.lagoonseam.core.operation.OwnerClient;
 import io.lagoonseam.core.operation.ShardedOperationJournal;
+import io.lagoonseam.core.peer.NoopPeerTransport;
 import io.lagoonseam.core.platform.VmEntry;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.caller.CallerRoutes;
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
+import io.lagoonseam.entry.configuration.FollowerEnvironment;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
 import io.lagoonseam.entry.operator.OperatorRoutes;
+import io.lagoonseam.entry.peer.PeerLayer;
 import io.lagoonseam.entry.platform.NodeJournal;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.settings.EntrySettings;
@@ -64,6 +65,7 @@
     private final PlatformClient platform;
     private final ShardedOperationJournal journal;
     private final ExecutorService decisions;
+    private final PeerLayer peers;
     private final Dispatcher dispatcher;
     private final ConfigurationFollower follower;
     private final List<Long> timers = new ArrayList<>();
@@ -98,9 +100,10 @@
         this.invariants = new InvariantMonitor(events);
         this.configuration = new ActiveConfiguration(invariants);
         this.platform = new PlatformClient(vertx, settings.platformUrl());
-        this.journal =
-                NodeJournal.create(vertx, platform, members(settings), OwnerClient.NONE, configuration, invariants);
         this.decisions = newDecisionThreads(settings);
+        this.peers =
+                new PeerLayer(new PeerLayer.Environment(vertx, settings, platform, decisions, time, registry, events));
+        this.journal = NodeJournal.create(vertx, platform, peers, configuration, invariants);
         this.dispatcher = new Dispatcher(new DispatchEnvironment(
                 decisions,
                 time,
@@ -111,13 +114,20 @@
                 events,
                 policies,
                 settings.seed()));
-        this.follower = new ConfigurationFollower(
-                vertx, platform, configuration, events, dispatcher::configure, settings.seed());
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
     }
 
-    private static MemberDirectory members(EntrySettings settings) {
-        return new SoleMemberDirectory(
-                new Member(settings.nodeId(), settings.dataCentre(), "", 0, 0, MemberState.ALIVE));
+    private FollowerEnvironment followerEnvironment() {
+        Member self = new Member(settings.nodeId(), settings.dataCentre(), "", 0, 0, MemberState.ALIVE);
+        return new FollowerEnvironment(
+                platform,
+                new NoopPeerTransport(),
+                new SoleMemberDirectory(self),
+                (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
+                decisions,
+                time,
+                events,
+                settings.seed());
     }
 
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
@@ -142,6 +152,7 @@
                 .onSuccess(server -> callerServer = server)
                 .compose(server -> listen(operators.router(vertx), settings.operators()))
                 .onSuccess(server -> operatorServer = server)
+                .compose(server -> peers.start())
                 .onSuccess(server -> started())
                 .mapEmpty();
     }
@@ -174,7 +185,7 @@
      * @return true once a configuration is in force and until the node stops
      */
     public boolean isReady() {
-        return state == State.SERVING && configuration.current().isPresent();
+        return state == State.SERVING && follower.isCaughtUp();
     }
 
     /**
@@ -195,6 +206,15 @@
         return operatorServer.actualPort();
     }
 
+    /**
+     * Returns what talks with other nodes.
+     *
+     * @return the peer layer
+     */
+    public PeerLayer peers() {
+        return peers;
+    }
+
     /**
      * Returns the node's settings.
      *
@@ -240,6 +260,7 @@
         if (stopping == null) {
             state = State.LEAVING;
             events.record(EventCode.NODE_STOPPING, dispatcher.inFlight() + " requests in flight");
+            peers.leave();
             Promise<Void> drained = Promise.promise();
             vertx.setTimer(Math.max(1, settings.leaveNoticeMillis()), timer -> {
                 state = State.REFUSING;
@@ -278,9 +299,13 @@
     private Future<Void> close() {
         follower.stop();
         timers.forEach(vertx::cancelTimer);
-        return callerServer.close().compose(nothing -> operatorServer.close()).onComplete(nothing -> {
-            decisions.shutdown();
-            events.record(EventCode.NODE_STOPPED, settings.nodeId());
-        });
+        return callerServer
+                .close()
+                .compose(nothing -> operatorServer.close())
+                .compose(nothing -> peers.close())
+                .onComplete(nothing -> {
+                    decisions.shutdown();
+                    events.record(EventCode.NODE_STOPPED, settings.nodeId());
+                });
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/NodeJournal.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/NodeJournal.java
@@ -2,14 +2,13 @@
 
 import io.lagoonseam.core.configuration.Retention;
 import io.lagoonseam.core.invariant.InvariantMonitor;
-import io.lagoonseam.core.membership.MemberDirectory;
 import io.lagoonseam.core.operation.JournalOptions;
-import io.lagoonseam.core.operation.OwnerClient;
 import io.lagoonseam.core.operation.ShardedOperationJournal;
 import io.lagoonseam.core.operation.internal.JournalShard;
 import io.lagoonseam.core.platform.ObjectStore;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
+import io.lagoonseam.entry.peer.PeerLayer;
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
 import java.util.Comparator;
@@ -28,8 +27,7 @@
      *
      * @param vertx runs what is to come later
      * @param store the platform
-     * @param members the live members
-     * @param owners asks other nodes
+     * @param peers the other nodes
      * @param configuration what is in force
      * @param invariants the checks at run time
      * @return the journal
@@ -37,8 +35,7 @@
     public static ShardedOperationJournal create(
             Vertx vertx,
             ObjectStore store,
-            MemberDirectory members,
-            OwnerClient owners,
+            PeerLayer peers,
             ActiveConfiguration configuration,
             InvariantMonitor invariants) {
         JournalOptions options = JournalOptions.standard(
@@ -51,7 +48,10 @@
                 new SecureRandom(),
                 invariants,
                 options);
-        return new ShardedOperationJournal(members, owners, environment);
+        ShardedOperationJournal journal =
+                new ShardedOperationJournal(peers.members(), new PeerOwnerClient(peers), environment);
+        PeerOwnerClient.serve(peers, journal);
+        return journal;
     }
 
     private static Optional<Retention> longest(ActiveConfiguration configuration) {
