--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -4,6 +4,8 @@
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
+import io.lagoonseam.bench.operation.DuplicatesExperiment;
+import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -12,9 +14,11 @@
 public final class Experiments {
 
     private static final List<Experiment> ALL = List.of(
-            new ChaosExperiment(),
             new BurstExperiment(),
+            new ChaosExperiment(),
+            new DuplicatesExperiment(),
             new LeaseExperiment(),
+            new OutageExperiment(),
             new PropagationExperiment(),
             new RouterCostExperiment());
 
