experiment entry-cost: what a request and a token cost a node

Change: an experiment that takes the processor time of the node's event loops and decision threads for answers of 8, 32 and 128 tokens, less what an idle node spends; router-cost shares its bench.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/cost/CompletionProbe.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/cost/CompletionProbe.java
@@ -23,7 +23,8 @@
     private static final int POOL_SIZE = 2_048;
     private static final int DIGITS = 3;
     private static final int OK = 200;
-    private static final String PROMPT = "how long until I may shower?";
+    private static final int LONGEST_ANSWER_TOKENS = 128;
+    private static final String PROMPT = promptOfLongAnswer();
 
     private final Vertx vertx;
     private final Context context;
@@ -32,6 +33,9 @@
     private final Buffer body;
 
     CompletionProbe(Vertx vertx, String url, int tokens) {
+        if (tokens > LONGEST_ANSWER_TOKENS) {
+            throw new IllegalArgumentException("answers have at most " + LONGEST_ANSWER_TOKENS + " tokens");
+        }
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.client = vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(POOL_SIZE));
@@ -40,11 +44,20 @@
         this.body = new JsonObject()
                 .put("model", "care-1")
                 .put("stream", true)
-                .put("max_tokens", Math.min(tokens, AnswerText.length(PROMPT, Integer.MAX_VALUE)))
+                .put("max_tokens", tokens)
                 .put("messages", new JsonArray().add(message))
                 .toBuffer();
     }
 
+    /** Finds a prompt whose answer is at least as long as any that is asked for. */
+    private static String promptOfLongAnswer() {
+        int number = 0;
+        while (AnswerText.length("question " + number, Integer.MAX_VALUE) < LONGEST_ANSWER_TOKENS) {
+            number++;
+        }
+        return "question " + number;
+    }
+
     /** What one phase brought. */
     static final class Phase {
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.bench.experiment;
 
 import io.lagoonseam.bench.chaos.ChaosExperiment;
+import io.lagoonseam.bench.cost.EntryCostExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
@@ -17,6 +18,7 @@
             new BurstExperiment(),
             new ChaosExperiment(),
             new DuplicatesExperiment(),
+            new EntryCostExperiment(),
             new LeaseExperiment(),
             new OutageExperiment(),
             new PropagationExperiment(),
