Experiments membership and rolling; stop, signs and renewed certificates under test

Cause: a start of 120 nodes at once took more than 15 s until all knew all; changed certificates in the same files were not read again, as Vert.x leaves equal options alone; nothing measured the parts. Change: whole tables are exchanged often after a start (0.5 s, doubling to 30 s) and 20 updates ride on a message instead of 8; options are applied by force; LocalFleet replaces nodes and upstreams, traffic follows ready nodes.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,13 +2,16 @@
 
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.membership.MembershipExperiment;
+import io.lagoonseam.bench.membership.RollingExperiment;
 import java.util.List;
 import java.util.Optional;
 
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of(new BurstExperiment(), new RouterCostExperiment());
+    private static final List<Experiment> ALL = List.of(
+            new BurstExperiment(), new MembershipExperiment(), new RollingExperiment(), new RouterCostExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
@@ -22,12 +22,18 @@
 import io.lagoonseam.standin.platform.PlatformStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -45,7 +51,10 @@
     private final EngineOptions.Builder engineOptions;
     private final Map<String, ModelEngineStandIn> engines = new LinkedHashMap<>();
     private final Map<String, PlainServiceStandIn> plainServices = new LinkedHashMap<>();
-    private final List<EntryNode> nodes = new ArrayList<>();
+    private final Map<String, String> deploymentIds = new HashMap<>();
+    private final List<EntryNode> nodes = new CopyOnWriteArrayList<>();
+    private int startedNodes;
+    private final HttpClient client;
     private PlatformStandIn platform;
     private FileSet fileSet;
 
@@ -54,6 +63,7 @@
         this.engineOptions = engineOptions;
         this.policies = policies;
         this.vertx = vertx;
+        this.client = vertx.createHttpClient();
         this.seed = seed;
         this.events = events;
     }
@@ -138,14 +148,19 @@
     }
 
     private AbstractStandIn startUpstream(Upstream upstream) {
+        return startUpstream(upstream, 0);
+    }
+
+    private AbstractStandIn startUpstream(Upstream upstream, int port) {
         Service service = fileSet.services().get(upstream.service());
         AbstractStandIn standIn;
         if (service.kind() == ServiceKind.PLAIN) {
-            PlainServiceStandIn plain = new PlainServiceStandIn(HOST, 0, seed);
+            PlainServiceStandIn plain = new PlainServiceStandIn(HOST, port, seed);
             plainServices.put(upstream.name(), plain);
             standIn = plain;
         } else {
             ModelEngineStandIn engine = new ModelEngineStandIn(engineOptions
+                    .listen(HOST, port)
                     .seed(seed)
                     .models(modelsOf(service))
                     .checksFencing(service.checksFencing())
@@ -153,7 +168,7 @@
             engines.put(upstream.name(), engine);
             standIn = engine;
         }
-        await(vertx.deployVerticle(standIn));
+        deploymentIds.put(upstream.name(), await(vertx.deployVerticle(standIn)));
         return standIn;
     }
 
@@ -177,7 +192,89 @@
         }
     }
 
-    private void startNode(int index) {
+    /**
+     * Adds a node and waits until it is ready.
+     *
+     * @return the node
+     */
+    public EntryNode addNode() {
+        EntryNode node = startNode(startedNodes);
+        awaitReady();
+        return node;
+    }
+
+    /**
+     * Stops a node gracefully.
+     *
+     * @param node the node
+     */
+    public void stopNode(EntryNode node) {
+        await(node.stop());
+        nodes.remove(node);
+    }
+
+    /**
+     * Returns where the ready nodes serve callers, as a balancer sees it.
+     *
+     * @return URLs without a path
+     */
+    public List<String> readyUrls() {
+        return nodes.stream()
+                .filter(EntryNode::isReady)
+                .map(node -> "http://" + HOST + ":" + node.callerPort())
+                .toList();
+    }
+
+    /**
+     * Changes an entry of the platform's list of VMs.
+     *
+     * @param upstreamName the name of the VM, that of its upstream
+     * @param state {@code live}, {@code leaving} or {@code gone}
+     */
+    public void setVm(String upstreamName, String state) {
+        RequestOptions options =
+                new RequestOptions().setMethod(HttpMethod.PUT).setAbsoluteURI(platform.url() + "/vms/" + upstreamName);
+        JsonObject vm = new JsonObject()
+                .put("dataCentre", fileSet.upstreams().get(upstreamName).dataCentre())
+                .put("state", state);
+        await(client.request(options)
+                .compose(request -> request.send(vm.toBuffer()))
+                .compose(HttpClientResponse::body));
+    }
+
+    /**
+     * Reads the counters of an upstream's stand-in.
+     *
+     * @param upstreamName the upstream
+     * @return the counters by name
+     */
+    public JsonObject counters(String upstreamName) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setAbsoluteURI(standIn(upstreamName).url() + "/counters");
+        return await(client.request(options)
+                .compose(HttpClientRequest::send)
+                .compose(HttpClientResponse::body)
+                .map(JsonObject::new));
+    }
+
+    private AbstractStandIn standIn(String upstreamName) {
+        ModelEngineStandIn engine = engines.get(upstreamName);
+        return engine == null ? plainServices.get(upstreamName) : engine;
+    }
+
+    /**
+     * Ends an upstream's stand-in and starts a new one in its place.
+     *
+     * @param upstreamName the upstream
+     */
+    public void replaceUpstream(String upstreamName) {
+        int port = standIn(upstreamName).port();
+        await(vertx.undeploy(deploymentIds.get(upstreamName)));
+        startUpstream(fileSet.upstreams().get(upstreamName), port);
+    }
+
+    private EntryNode startNode(int index) {
         List<String> dataCentres = fileSet.upstreams().values().stream()
                 .map(Upstream::dataCentre)
                 .distinct()
@@ -190,6 +287,8 @@
         EntryNode node = new EntryNode(vertx, settings, events, policies);
         await(node.start());
         nodes.add(node);
+        startedNodes++;
+        return node;
     }
 
     private void awaitReady() {
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments about nodes and upstreams that come and go. */
+package io.lagoonseam.bench.membership;
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
@@ -23,6 +23,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Sends requests at random times that do not depend on the answers, to one entry address after the other. */
 public final class TrafficGenerator {
@@ -36,7 +37,7 @@
     private final Vertx vertx;
     private final Context context;
     private final HttpClient client;
-    private final List<String> targets;
+    private final Supplier<List<String>> targets;
     private final FileSet fileSet;
     private final TrafficProfile profile;
     private final long seed;
@@ -47,11 +48,12 @@
     private int requestsRunning;
     private int nextTarget;
 
-    private TrafficGenerator(Vertx vertx, List<String> targets, FileSet fileSet, TrafficProfile profile, long seed) {
+    private TrafficGenerator(
+            Vertx vertx, Supplier<List<String>> targets, FileSet fileSet, TrafficProfile profile, long seed) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.client = vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(POOL_SIZE));
-        this.targets = List.copyOf(targets);
+        this.targets = targets;
         this.fileSet = fileSet;
         this.profile = profile;
         this.seed = seed;
@@ -91,6 +93,28 @@
             TrafficProfile profile,
             long seed,
             Consumer<TrafficReport> progress) {
+        List<String> fixed = List.copyOf(targets);
+        return run(vertx, () -> fixed, fileSet, profile, seed, progress);
+    }
+
+    /**
+     * Runs a profile against nodes that come and go.
+     *
+     * @param vertx the Vert.x instance
+     * @param targets gives the addresses of the entry nodes at each request, at least one
+     * @param fileSet the file set, for the targets of the classes
+     * @param profile the traffic
+     * @param seed the seed of arrivals and prompts
+     * @param progress hears of the report each second, on the thread that writes it
+     * @return completes when every request has ended
+     */
+    public static Future<TrafficReport> run(
+            Vertx vertx,
+            Supplier<List<String>> targets,
+            FileSet fileSet,
+            TrafficProfile profile,
+            long seed,
+            Consumer<TrafficReport> progress) {
         TrafficGenerator generator = new TrafficGenerator(vertx, targets, fileSet, profile, seed);
         generator.context.runOnContext(nothing -> generator.begin(progress));
         return generator.finished.future();
@@ -169,7 +193,8 @@
         requestsRunning++;
         ClassReport classReport = report.ofClass(classProfile.requestClass());
         classReport.request();
-        String target = targets.get(nextTarget++ % targets.size());
+        List<String> present = targets.get();
+        String target = present.get(nextTarget++ % present.size());
         RequestOptions options = options(classProfile, target, key, number);
         Exchange exchange = new Exchange(classProfile, classReport, prompt(classProfile, number), intendedNanos);
         client.request(options)
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/DefaultMemberDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/DefaultMemberDirectory.java
@@ -50,6 +50,7 @@
     private long lastTickMillis;
     private long nextProbeMillis;
     private long nextExchangeMillis;
+    private long exchangeDelayMillis;
     private int probes;
 
     /**
@@ -80,7 +81,8 @@
                     new Member(old.nodeId(), old.dataCentre(), old.host(), port, old.incarnation(), MemberState.ALIVE));
             lastTickMillis = nowMillis();
             nextProbeMillis = lastTickMillis + jitter(timings.probeIntervalMillis());
-            nextExchangeMillis = lastTickMillis + jitter(timings.exchangeIntervalMillis());
+            exchangeDelayMillis = timings.probeIntervalMillis();
+            nextExchangeMillis = lastTickMillis + 1 + jitter(exchangeDelayMillis);
         });
         publish();
         environment.transport().register(MembershipTypes.PROBE, this::answerProbe);
@@ -183,7 +185,8 @@
                 }
             }
             if (nowMillis >= nextExchangeMillis) {
-                nextExchangeMillis = nowMillis + timings.exchangeIntervalMillis();
+                exchangeDelayMillis = Math.min(timings.exchangeIntervalMillis(), exchangeDelayMillis * 2);
+                nextExchangeMillis = nowMillis + exchangeDelayMillis / 2 + jitter(exchangeDelayMillis);
                 exchanged.addAll(pick(HELPFUL, 1, ""));
             }
         });
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/MembershipTimings.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/MembershipTimings.java
@@ -8,7 +8,7 @@
  * @param indirectTimeoutMillis the longest wait for the answer to an indirect probe
  * @param indirectProbes the number of members asked to probe indirectly
  * @param suspicionMillis the time that a suspect has to refute
- * @param exchangeIntervalMillis the time between two exchanges of whole tables
+ * @param exchangeIntervalMillis the time between two exchanges of whole tables, which come more often after a start
  * @param deadRetentionMillis the time that a dead member is remembered and now and then probed
  * @param updatesPerMessage the largest number of updates on a probe
  */
@@ -29,7 +29,7 @@
     private static final long SUSPICION_MILLIS = 1_500;
     private static final long EXCHANGE_INTERVAL_MILLIS = 30_000;
     private static final long DEAD_RETENTION_MILLIS = 600_000;
-    private static final int UPDATES_PER_MESSAGE = 8;
+    private static final int UPDATES_PER_MESSAGE = 20;
 
     /**
      * Returns the times that nodes use.
--- /dev/null
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/membership/LeavingUpstreamsTest.java
@@ -0,0 +1,81 @@
+package io.lagoonseam.core.membership;
+
+import static org.testng.Assert.assertEquals;
+
+import io.lagoonseam.core.platform.VmEntry;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+public final class LeavingUpstreamsTest {
+
+    private static final Set<String> UPSTREAMS = Set.of("e1", "e2", "e3", "e4");
+
+    private final LeavingUpstreams leaving = new LeavingUpstreams();
+
+    private LeavingUpstreams.View read(String... vms) {
+        List<VmEntry> list = Stream.of(vms)
+                .map(vm -> new VmEntry(vm.replace("-", ""), "a", vm.endsWith("-")))
+                .toList();
+        return leaving.read("n1", list, UPSTREAMS, 100);
+    }
+
+    public static final class OneReader {
+
+        private final LeavingUpstreamsTest test = new LeavingUpstreamsTest();
+
+        @Test
+        public void leavingAndVanishedGetNoWorkUntilTheyAreBack() {
+            test.read("e1", "e2", "e3", "e4", "other-");
+            assertEquals(test.leaving.names(), Set.of());
+            test.read("e1-", "e2", "e3", "e4");
+            assertEquals(test.leaving.names(), Set.of("e1"));
+            test.read("e2", "e3", "e4");
+            assertEquals(test.leaving.names(), Set.of("e1"));
+            test.read("e1", "e2", "e3", "e4");
+            assertEquals(test.leaving.names(), Set.of());
+        }
+
+        @Test
+        public void listThatLosesMostAtOnceIsNotBelieved() {
+            LeavingUpstreamsTest fresh = new LeavingUpstreamsTest();
+            fresh.read("e1", "e2", "e3", "e4");
+            fresh.read("e1");
+            assertEquals(fresh.leaving.names(), Set.of());
+        }
+
+        @Test
+        public void versionRisesOnlyWithAChange() {
+            LeavingUpstreamsTest fresh = new LeavingUpstreamsTest();
+            assertEquals(fresh.read("e1", "e2").version(), 100);
+            assertEquals(fresh.read("e2", "e1").version(), 100);
+            assertEquals(fresh.read("e1-", "e2").version(), 101);
+        }
+    }
+
+    @Test
+    public void viewsOfFormerReadersCountUntilAPresentOneHasTold() {
+        leaving.readers(Set.of("n2"));
+        leaving.heard("n2", new LeavingUpstreams.View(1, Set.of("e1")));
+        leaving.readers(Set.of("n3"));
+        assertEquals(leaving.names(), Set.of("e1"));
+        leaving.heard("n3", new LeavingUpstreams.View(1, Set.of("e2")));
+        leaving.readers(Set.of("n3"));
+        assertEquals(leaving.names(), Set.of("e2"));
+        leaving.heard("n3", new LeavingUpstreams.View(3, Set.of()));
+        leaving.heard("n3", new LeavingUpstreams.View(2, Set.of("e2")));
+        assertEquals(leaving.names(), Set.of());
+    }
+
+    @Test
+    public void refusedConnectionsAndAnnouncementsAreSignsOfTheirOwn() {
+        LeavingUpstreams own = new LeavingUpstreams();
+        own.connected("e3", false);
+        own.announced("e4", true);
+        assertEquals(own.names(), Set.of("e3", "e4"));
+        own.connected("e3", true);
+        own.announced("e4", false);
+        assertEquals(own.names(), Set.of());
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -130,14 +130,15 @@
 
     private FollowerEnvironment followerEnvironment() {
         return new FollowerEnvironment(
-                platform,
-                peers.transport(),
-                peers.members(),
-                (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
-                decisions,
-                time,
-                events,
-                settings.seed());
+                platform, peers.transport(), peers.members(), this::runLater, decisions, time, events, settings.seed());
+    }
+
+    private void runLater(long delayMillis, Runnable task) {
+        vertx.setTimer(Math.max(1, delayMillis), timer -> {
+            if (!decisions.isShutdown()) {
+                task.run();
+            }
+        });
     }
 
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
@@ -197,6 +198,15 @@
                 .orElse(Set.of());
     }
 
+    /**
+     * Returns the upstreams that get no new work from this node.
+     *
+     * @return their names
+     */
+    public Set<String> leavingUpstreams() {
+        return upstreamWatch.leavingUpstreams();
+    }
+
     /**
      * Adds a part that hands something over when the node stops.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/peer/VertxPeerTransport.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/peer/VertxPeerTransport.java
@@ -96,8 +96,8 @@
      * @return fails if they cannot be used; those before stay in use then
      */
     public Future<Void> renew(TlsFiles files) {
-        return server.updateSSLOptions(files.server(ClientAuth.REQUIRED))
-                .compose(changed -> client.updateSSLOptions(files.client()))
+        return server.updateSSLOptions(files.server(ClientAuth.REQUIRED), true)
+                .compose(changed -> client.updateSSLOptions(files.client(), true))
                 .mapEmpty();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/UpstreamWatch.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/UpstreamWatch.java
@@ -154,6 +154,15 @@
         apply();
     }
 
+    /**
+     * Returns the upstreams that get no new work.
+     *
+     * @return their names
+     */
+    public Set<String> leavingUpstreams() {
+        return leaving.names();
+    }
+
     private void apply() {
         Set<String> names = leaving.names();
         environment.apply().accept(names);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/tls/NodeTls.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/tls/NodeTls.java
@@ -54,7 +54,7 @@
     public void watch(HttpServer callerServer, Function<TlsFiles, Future<?>> renewPeers) {
         settings.callerTls()
                 .ifPresent(files ->
-                        watch(files, changed -> callerServer.updateSSLOptions(changed.server(ClientAuth.NONE))));
+                        watch(files, changed -> callerServer.updateSSLOptions(changed.server(ClientAuth.NONE), true)));
         settings.peerTls().ifPresent(files -> watch(files, renewPeers));
     }
 
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/peer/VertxPeerTransportTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/peer/VertxPeerTransportTest.java
@@ -21,6 +21,7 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.Optional;
@@ -195,12 +196,21 @@
         TestCertificates old = new TestCertificates(folder);
         TestCertificates renewed = new TestCertificates(Files.createTempDirectory("tls"));
         Started a = deploy("a", Optional.of(old.issue("a", "a")));
-        Started b = deploy("b", Optional.of(old.issue("b", "b")));
+        TlsFiles filesOfB = old.issue("b", "b");
+        Started b = deploy("b", Optional.of(filesOfB));
         Started late = deploy("c", Optional.of(renewed.issue("c", "c")));
         assertAnswered(ask(a, "b"));
         assertFalse(ask(late, "b", 2_000) instanceof PeerReply.Answered);
-        b.transport().renew(renewed.issue("b", "b")).await();
+        TlsFiles renewedFiles = renewed.issue("b", "b");
+        replace(filesOfB.certificateFile(), renewedFiles.certificateFile());
+        replace(filesOfB.keyFile(), renewedFiles.keyFile());
+        replace(filesOfB.authorityFile(), renewedFiles.authorityFile());
+        b.transport().renew(filesOfB).await();
         assertAnswered(ask(late, "b"));
         assertAnswered(ask(a, "b"));
     }
+
+    private static void replace(String file, String by) throws IOException {
+        Files.copy(Path.of(by), Path.of(file), StandardCopyOption.REPLACE_EXISTING);
+    }
 }
