--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,8 +2,10 @@
 
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.membership.MembershipExperiment;
 import io.lagoonseam.bench.membership.RollingExperiment;
+import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
 
@@ -11,7 +13,12 @@
 public final class Experiments {
 
     private static final List<Experiment> ALL = List.of(
-            new BurstExperiment(), new MembershipExperiment(), new RollingExperiment(), new RouterCostExperiment());
+            new BurstExperiment(),
+            new LeaseExperiment(),
+            new MembershipExperiment(),
+            new PropagationExperiment(),
+            new RollingExperiment(),
+            new RouterCostExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -1,8 +1,10 @@
 package io.lagoonseam.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.lagoonseam.core.audit.AuditTrail;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.membership.StopParticipant;
 import io.lagoonseam.core.time.SystemTimeSource;
@@ -11,12 +13,16 @@
 import io.lagoonseam.entry.configuration.ActiveConfiguration;
 import io.lagoonseam.entry.configuration.ConfigurationFollower;
 import io.lagoonseam.entry.configuration.FollowerEnvironment;
+import io.lagoonseam.entry.configuration.GenerationPiggyback;
+import io.lagoonseam.entry.configuration.InForceReader;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
+import io.lagoonseam.entry.operator.AuditRoutes;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
+import io.lagoonseam.entry.placement.NodePlacement;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.platform.SingleWriteOperationJournal;
 import io.lagoonseam.entry.platform.UpstreamWatch;
@@ -37,7 +43,8 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -57,6 +64,7 @@
 
     private final Vertx vertx;
     private final EntrySettings settings;
+    private final AuditTrail audit;
     private final EventSink events;
     private final TimeSource time = new SystemTimeSource();
     private final MetricRegistry registry = new MetricRegistry();
@@ -67,6 +75,7 @@
     private final PeerLayer peers;
     private final Dispatcher dispatcher;
     private final ConfigurationFollower follower;
+    private final NodePlacement placement;
     private final List<Long> timers = new ArrayList<>();
     private final List<StopParticipant> participants = new CopyOnWriteArrayList<>();
     private final NodeTls tls;
@@ -92,13 +101,14 @@
      *
      * @param vertx the Vert.x instance that it runs on
      * @param settings its settings
-     * @param events the sink of numbered events
+     * @param sink the sink of numbered events
      * @param policies the policies of each service
      */
-    public EntryNode(Vertx vertx, EntrySettings settings, EventSink events, ServicePolicies policies) {
+    public EntryNode(Vertx vertx, EntrySettings settings, EventSink sink, ServicePolicies policies) {
         this.vertx = vertx;
         this.settings = settings;
-        this.events = events;
+        this.audit = new AuditTrail(sink, time);
+        this.events = audit;
         this.invariants = new InvariantMonitor(events);
         this.configuration = new ActiveConfiguration(invariants);
         this.platform = new PlatformClient(vertx, settings.platformUrl());
@@ -115,7 +125,13 @@
                 events,
                 policies,
                 settings.seed()));
-        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
+        this.placement = new NodePlacement(
+                new NodePlacement.Environment(
+                        vertx, settings, platform, peers.members(), peers.transport(), configuration, time, events),
+                decisions);
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, this::configure);
+        this.peers.piggybacks().add(new GenerationPiggyback(follower));
+        this.participants.add(placement::handOver);
         this.tls = new NodeTls(vertx, settings, events);
         this.upstreamWatch = new UpstreamWatch(new UpstreamWatch.Environment(
                 platform,
@@ -128,6 +144,11 @@
         dispatcher.onConnection(upstreamWatch::connected);
     }
 
+    private void configure(FileSet fileSet) {
+        dispatcher.trail().generation(follower.generation());
+        dispatcher.configure(fileSet);
+    }
+
     private FollowerEnvironment followerEnvironment() {
         return new FollowerEnvironment(
                 platform, peers.transport(), peers.members(), this::runLater, decisions, time, events, settings.seed());
@@ -141,13 +162,21 @@
         });
     }
 
+    /** Decisions that come after the end of the node are dropped, as a crash would drop them. */
     private static ExecutorService newDecisionThreads(EntrySettings settings) {
         AtomicInteger number = new AtomicInteger();
-        return Executors.newFixedThreadPool(settings.workerThreads(), task -> {
-            Thread thread = new Thread(task, settings.nodeId() + "-decision-" + number.incrementAndGet());
-            thread.setDaemon(true);
-            return thread;
-        });
+        return new ThreadPoolExecutor(
+                settings.workerThreads(),
+                settings.workerThreads(),
+                0,
+                TimeUnit.SECONDS,
+                new LinkedBlockingQueue<>(),
+                task -> {
+                    Thread thread = new Thread(task, settings.nodeId() + "-decision-" + number.incrementAndGet());
+                    thread.setDaemon(true);
+                    return thread;
+                },
+                new ThreadPoolExecutor.DiscardPolicy());
     }
 
     /**
@@ -156,19 +185,25 @@
      * @return completes when callers and operators are served
      */
     public Future<Void> start() {
-        CallerRoutes callers = new CallerRoutes(configuration, dispatcher, time, () -> state != State.REFUSING);
+        CallerRoutes callers = new CallerRoutes(
+                configuration, dispatcher, time, () -> state != State.REFUSING, placement::recordDemand);
         OperatorRoutes operators =
                 new OperatorRoutes(settings, configuration, dispatcher, invariants, registry, this::isReady);
         Router callerRouter = callers.router(vertx, settings.bodyLimitBytes());
         return listen(tls.callerOptions(), request -> route(callerRouter, request), settings.callers())
                 .onSuccess(server -> callerServer = server)
-                .compose(server -> listen(new HttpServerOptions(), operators.router(vertx), settings.operators()))
+                .compose(server -> listen(
+                        new HttpServerOptions(), auditRoutes().addTo(operators.router(vertx)), settings.operators()))
                 .onSuccess(server -> operatorServer = server)
                 .compose(server -> peers.start())
                 .onSuccess(server -> started())
                 .mapEmpty();
     }
 
+    private AuditRoutes auditRoutes() {
+        return new AuditRoutes(audit, dispatcher.trail(), peers::allMembers, follower, new InForceReader(platform));
+    }
+
     private Future<HttpServer> listen(
             HttpServerOptions options, Handler<HttpServerRequest> handler, ListenAddress address) {
         return vertx.createHttpServer(options).requestHandler(handler).listen(address.port(), address.host());
@@ -184,6 +219,7 @@
 
     private void started() {
         follower.start();
+        placement.start();
         tls.watch(callerServer, peers::renew);
         timers.add(vertx.setPeriodic(TICK_MILLIS, timer -> dispatcher.tick()));
         timers.add(vertx.setPeriodic(LOAD_POLL_MILLIS, timer -> dispatcher.pollLoad()));
@@ -325,6 +361,7 @@
 
     private Future<Void> close() {
         follower.stop();
+        placement.stop();
         tls.stop();
         timers.forEach(vertx::cancelTimer);
         return callerServer
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -8,6 +8,7 @@
 
     /** Upstreams that are leaving, as one node read or heard. */
     public static final int UPSTREAM_SIGNS = 5;
+
     /** Tells that a generation is in force at the sender: {@link ConfigurationMessages.Announcement}. */
     public static final int CONFIGURATION_ANNOUNCEMENT = 30;
 
@@ -20,5 +21,8 @@
     /** Reports the generation in force to a relay: {@link ConfigurationMessages.Report}, answered by its view. */
     public static final int CONFIGURATION_REPORT = 33;
 
+    /** Asks a node for the demand it has seen by model. */
+    public static final int PLACEMENT_DEMAND = 60;
+
     private MessageTypes() {}
 }
