--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -5,6 +5,8 @@
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
+import io.lagoonseam.bench.membership.MembershipExperiment;
+import io.lagoonseam.bench.membership.RollingExperiment;
 import io.lagoonseam.bench.operation.DuplicatesExperiment;
 import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
@@ -20,8 +22,10 @@
             new DuplicatesExperiment(),
             new EntryCostExperiment(),
             new LeaseExperiment(),
+            new MembershipExperiment(),
             new OutageExperiment(),
             new PropagationExperiment(),
+            new RollingExperiment(),
             new RouterCostExperiment());
 
     private Experiments() {}
