Admission: shares by weight with a reserved share for aged classes, displacement, early refusal

Cause: the first ageing rule put every aged request before urgent ones. Change: urgent first, weighted shares below it, one start in 16 for classes not served for half of their longest wait; per-workspace queues within a class; lengths estimated by decaying distributions; refusal on arrival of what cannot begin in time; an urgent request takes the newest place of the lowest tier. ClassServiceWatch asserts EVERY_CLASS_SERVED and ServiceQueue URGENT_NEVER_SHED.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -7,7 +8,7 @@
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of(new BurstExperiment());
+    private static final List<Experiment> ALL = List.of(new RouterCostExperiment(), new BurstExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyResult.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyResult.java
@@ -85,6 +85,8 @@
                 .put("requests", result.requests())
                 .put("answered", result.answered())
                 .put("attainmentOfAnswered", result.attainmentOfAnswered())
+                .put("firstTokenP95Millis", result.firstTokenP95Millis())
+                .put("betweenTokensP95Millis", result.betweenTokensP95Millis())
                 .put("longestWaitMillis", result.longestWaitMillis())
                 .put("longestWaitLimitMillis", result.longestWaitLimitMillis()));
         ObjectNode counted = json.putObject("violationsByInvariant");
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.bench.fleet.LocalFleet;
 import io.lagoonseam.bench.traffic.ClassReport;
 import io.lagoonseam.bench.traffic.TrafficGenerator;
+import io.lagoonseam.bench.traffic.TrafficProfile;
 import io.lagoonseam.bench.traffic.TrafficReport;
 import io.lagoonseam.core.audit.NoopEventSink;
 import io.lagoonseam.core.configuration.FileSet;
@@ -28,6 +29,9 @@
 public final class PolicyRunner {
 
     private static final long TIMEOUT_SECONDS = 60;
+    private static final double WARM_UP_LOAD = 0.9;
+    private static final long WARM_UP_MILLIS = 4_000;
+    private static final double P95 = 95;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final PolicyScenario scenario;
@@ -51,6 +55,7 @@
      * @throws TimeoutException if the traffic does not end
      */
     public List<PolicyResult> runAll() throws TimeoutException {
+        warmUp();
         List<PolicyResult> results = new ArrayList<>();
         for (ComparedPolicy policy : ComparedPolicy.all()) {
             results.add(run(policy));
@@ -58,6 +63,14 @@
         return results;
     }
 
+    /** Lets the program compile its hot paths, so that the first policy is not measured on a cold start. */
+    private void warmUp() throws TimeoutException {
+        TrafficProfile profile = StandardTraffic.constant(scenario.shape(), WARM_UP_LOAD, WARM_UP_MILLIS);
+        PolicyScenario constant =
+                new PolicyScenario(scenario.name(), scenario.shape(), profile, FaultScript.NONE, 0, WARM_UP_MILLIS);
+        new PolicyRunner(constant, seed).run(ComparedPolicy.all().get(0));
+    }
+
     /**
      * Runs the scenario under one policy.
      *
@@ -126,6 +139,8 @@
                             seen.answered(),
                             seen.attainment(),
                             ofAnswered,
+                            seen.firstTokenMillis(P95),
+                            seen.betweenTokensMillis(P95),
                             waitMillis,
                             fileSet.serviceLevels().get(level).longestWaitMillis()));
         });
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -47,6 +47,12 @@
     WORKSPACE_OVER_LIMIT(304, EventLevel.INFO, "The workspace is over its limit"),
     /** The deadline passed in the queue. */
     DEADLINE_PASSED(305, EventLevel.WARNING, "The deadline passed while the request was queued"),
+    /** A queued request reached the longest wait of its class. */
+    LONGEST_WAIT_PASSED(306, EventLevel.WARNING, "The longest wait of the class passed while the request was queued"),
+    /** A workspace that held most places of a queue gave one up. */
+    SHED_FOR_FAIR_SHARE(307, EventLevel.WARNING, "The request was shed for another workspace's fair share"),
+    /** The home node of a workspace's limits does not answer. */
+    LIMIT_HOME_SILENT(308, EventLevel.WARNING, "The node that shares out a workspace's limits does not answer"),
 
     /** No upstream can take the request. */
     NO_UPSTREAM(401, EventLevel.WARNING, "No upstream of the service can take the request"),
@@ -85,6 +91,20 @@
     PLATFORM_UNREACHABLE(701, EventLevel.WARNING, "The platform does not answer"),
     /** An upstream is leaving. */
     UPSTREAM_LEAVING(702, EventLevel.INFO, "An upstream is leaving and gets no new work"),
+    /** A member answers, or came back. */
+    MEMBER_ALIVE(703, EventLevel.INFO, "A member answers"),
+    /** A member answers neither this node nor others. */
+    MEMBER_SUSPECTED(704, EventLevel.WARNING, "A member does not answer and is suspected"),
+    /** A member announced that it leaves. */
+    MEMBER_LEAVING(705, EventLevel.INFO, "A member announced that it leaves"),
+    /** A member is gone. */
+    MEMBER_DEAD(706, EventLevel.WARNING, "A member is held dead"),
+    /** A peer sent something that is not a frame. */
+    PEER_FRAME_BAD(707, EventLevel.WARNING, "A peer's frame cannot be read; its connection was closed"),
+    /** A peer's connection was silent. */
+    PEER_SILENT(708, EventLevel.WARNING, "A peer's connection was silent and was replaced"),
+    /** The node could not register itself. */
+    REGISTRATION_FAILED(709, EventLevel.WARNING, "The node could not write its registration; it will try again"),
 
     /** A stated invariant does not hold. */
     INVARIANT_VIOLATED(901, EventLevel.ERROR, "An invariant does not hold");
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -68,7 +68,8 @@
         return ended;
     }
 
-    final boolean wasSent() {
+    @Override
+    public final boolean wasSent() {
         return sent;
     }
 
@@ -84,7 +85,10 @@
     public final void start(Upstream chosen) {
         context.runOnContext(nothing -> {
             if (ended) {
-                dispatcher.decide(() -> service().release(chosen));
+                dispatcher.decide(() -> {
+                    service().finished(ticket.id(), 0, false);
+                    service().release(chosen);
+                });
                 return;
             }
             worker = chosen;
@@ -102,7 +106,7 @@
         if (ended) {
             return;
         }
-        markEnded();
+        markEnded(0, false);
         dispatcher.record(EventCode.CALLER_GONE, ticket.id());
         dispatcher.decide(() -> service().cancel(ticket.id()));
         if (worker != null) {
@@ -161,7 +165,7 @@
         }
         boolean truthful = refusal.verdict() != Verdict.NOT_RUN || !sent;
         dispatcher.invariants().check(Invariant.NOT_RUN_IS_TRUE, truthful, ticket.id());
-        markEnded();
+        markEnded(0, false);
         releaseWorker();
         dispatcher.metrics().refused(ticket, refusal);
         sink.refused(refusal);
@@ -169,7 +173,7 @@
 
     final void endWithAnswer(long firstTokenMillis, int tokens) {
         String workerName = worker == null ? BoundedNames.OTHER : worker.name();
-        markEnded();
+        markEnded(tokens, true);
         releaseWorker();
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
@@ -184,8 +188,9 @@
                         tokens));
     }
 
-    private void markEnded() {
+    private void markEnded(int tokens, boolean whole) {
         ended = true;
+        dispatcher.decide(() -> service().finished(ticket.id(), tokens, whole));
         dispatcher.finished();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -1,9 +1,6 @@
 package io.lagoonseam.entry.dispatch;
 
 import io.lagoonseam.core.admission.AdmissionController;
-import io.lagoonseam.core.admission.OfferResult;
-import io.lagoonseam.core.admission.ShedTicket;
-import io.lagoonseam.core.admission.Ticket;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
@@ -16,8 +13,6 @@
 import io.lagoonseam.core.verdict.Refusal;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,13 +23,11 @@
 final class ServiceDispatcher {
 
     private final RankedLock lock = new RankedLock(LockRank.SERVICE);
-    private final AdmissionController admission;
-    private final Map<String, QueuedRequest> waiting = new HashMap<>();
+    private final ServiceQueue queue;
     private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
     private final WorkerSelector selector;
     private final TimeSource time;
     private final InvariantMonitor invariants;
-    private final RouterMetrics metrics;
 
     ServiceDispatcher(
             AdmissionController admission,
@@ -42,8 +35,7 @@
             TimeSource time,
             InvariantMonitor invariants,
             RouterMetrics metrics) {
-        this.metrics = metrics;
-        this.admission = admission;
+        this.queue = new ServiceQueue(admission, invariants, metrics);
         this.selector = selector;
         this.time = time;
         this.invariants = invariants;
@@ -105,21 +97,24 @@
     }
 
     void submit(QueuedRequest request) {
-        Optional<Refusal> refusal = lock.call(() -> {
-            OfferResult result = admission.offer(request.ticket());
-            if (result instanceof OfferResult.Refused refused) {
-                return Optional.of(refused.refusal());
-            }
-            waiting.put(request.ticket().id(), request);
-            return Optional.empty();
-        });
-        refusal.ifPresent(request::refuse);
+        List<ServiceQueue.Shed> shed = lock.call(() -> queue.offer(request, time.monotonicMillis()));
+        shed.forEach(ServiceQueue.Shed::answer);
         pump();
     }
 
+    /** Corrects what a running request is expected to cost. */
+    void progressed(String id, int tokens) {
+        lock.run(() -> queue.progressed(id, tokens));
+    }
+
+    /** Ends a running request. */
+    void finished(String id, int tokens, boolean whole) {
+        lock.run(() -> queue.finished(id, tokens, whole, time.monotonicMillis()));
+    }
+
     /** Withdraws a request whose caller has gone; returns whether it was still waiting. */
     boolean cancel(String id) {
-        return lock.call(() -> waiting.remove(id) != null && admission.cancel(id));
+        return lock.call(() -> queue.cancel(id));
     }
 
     void release(Upstream upstream) {
@@ -136,39 +131,33 @@
     }
 
     int waitingCount() {
-        return lock.call(admission::size);
+        return lock.call(queue::size);
     }
 
     /** Refuses what has passed its deadline and starts what has a worker. */
     void pump() {
         List<Assignment> assignments = new ArrayList<>();
-        List<ShedTicket> expired = new ArrayList<>();
-        List<QueuedRequest> expiredRequests = new ArrayList<>();
+        List<ServiceQueue.Shed> expired = new ArrayList<>();
         lock.run(() -> {
             long nowMillis = time.monotonicMillis();
-            expired.addAll(admission.expire(nowMillis));
-            expired.forEach(
-                    shed -> expiredRequests.add(waiting.remove(shed.ticket().id())));
+            expired.addAll(queue.expire(nowMillis));
             assign(nowMillis, assignments);
         });
-        for (int index = 0; index < expired.size(); index++) {
-            expiredRequests.get(index).refuse(expired.get(index).refusal());
-        }
+        expired.forEach(ServiceQueue.Shed::answer);
         assignments.forEach(assignment -> assignment.request().start(assignment.worker()));
     }
 
     private void assign(long nowMillis, List<Assignment> assignments) {
         while (hasRoom()) {
-            Optional<Ticket> next = admission.poll(nowMillis);
+            Optional<ServiceQueue.Next> next = queue.poll(nowMillis);
             if (next.isEmpty()) {
                 return;
             }
-            QueuedRequest request = waiting.remove(next.get().id());
+            QueuedRequest request = next.get().request();
             WorkerEntry worker = choose(request, nowMillis);
             worker.inFlight++;
             invariants.check(Invariant.LEAVING_GETS_NO_WORK, !worker.leaving, worker.upstream.name());
-            long waitMillis = nowMillis - next.get().arrivalMillis();
-            metrics.started(next.get(), worker.upstream.name(), waitMillis);
+            queue.started(next.get(), worker.upstream.name());
             assignments.add(new Assignment(request, worker.upstream));
         }
     }
@@ -199,12 +188,7 @@
 
     /** Refuses every waiting request, for a service that was removed. */
     void close() {
-        Set<QueuedRequest> removed = new HashSet<>();
-        lock.run(() -> {
-            removed.addAll(waiting.values());
-            waiting.keySet().forEach(admission::cancel);
-            waiting.clear();
-        });
+        List<QueuedRequest> removed = lock.call(queue::clear);
         removed.forEach(request ->
                 request.refuse(Refusal.builder(EventCode.SERVICE_UNKNOWN, 404).build()));
     }
