--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/retry/RetryBudget.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/retry/RetryBudget.java
@@ -2,32 +2,65 @@
 
 import io.lagoonseam.core.lock.LockRank;
 import io.lagoonseam.core.lock.RankedLock;
+import io.lagoonseam.core.time.SystemTimeSource;
+import io.lagoonseam.core.time.TimeSource;
 
-/** Allows extra attempts as a share of recent first attempts, so that retries cannot multiply a failure. */
+/**
+ * Allows extra attempts (retries, hedges, resumes and continuations) as a share of recent successes and a small share
+ * of recent first attempts, so that they cannot multiply a failure. All sums decay.
+ */
 public final class RetryBudget {
 
-    private static final double CAPACITY_ATTEMPTS = 20;
+    private static final double DECAY_MILLIS = 10_000;
+    private static final double RESERVE_ATTEMPTS = 3;
+    private static final double FIRST_ATTEMPT_SHARE = 0.02;
 
     private final RankedLock lock = new RankedLock(LockRank.RETRY);
+    private final TimeSource time;
     private final double share;
-    private double available;
+    private double recentFirstAttempts;
+    private double recentSuccesses;
+    private double recentExtraAttempts;
+    private long decayedAtMillis;
 
     /**
-     * Creates a budget.
+     * Creates a budget on the machine's clock.
      *
-     * @param share extra attempts allowed for each first attempt, from 0 to 1
+     * @param share extra attempts allowed for each recent success, from 0 to 1
      */
     public RetryBudget(double share) {
+        this(share, new SystemTimeSource());
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param share extra attempts allowed for each recent success, from 0 to 1
+     * @param time the clock
+     */
+    public RetryBudget(double share, TimeSource time) {
         if (share < 0 || share > 1) {
             throw new IllegalArgumentException("share is not from 0 to 1: " + share);
         }
         this.share = share;
-        this.available = CAPACITY_ATTEMPTS * share;
+        this.time = time;
+        this.decayedAtMillis = time.monotonicMillis();
     }
 
-    /** Counts a first attempt, which earns a share of an extra one. */
+    /** Counts a first attempt. */
     public void recordFirstAttempt() {
-        lock.run(() -> available = Math.min(CAPACITY_ATTEMPTS, available + share));
+        lock.run(() -> {
+            decay();
+            recentFirstAttempts++;
+        });
+    }
+
+    /** Counts a whole answer. */
+    public void recordSuccess() {
+        lock.run(() -> {
+            decay();
+            recentSuccesses++;
+        });
     }
 
     /**
@@ -37,11 +70,25 @@
      */
     public boolean tryAcquire() {
         return lock.call(() -> {
-            if (available < 1) {
+            decay();
+            if (recentExtraAttempts + 1 > allowance()) {
                 return false;
             }
-            available -= 1;
+            recentExtraAttempts++;
             return true;
         });
     }
+
+    private double allowance() {
+        return RESERVE_ATTEMPTS + share * recentSuccesses + FIRST_ATTEMPT_SHARE * recentFirstAttempts;
+    }
+
+    private void decay() {
+        long nowMillis = time.monotonicMillis();
+        double factor = Math.exp((decayedAtMillis - nowMillis) / DECAY_MILLIS);
+        recentFirstAttempts *= factor;
+        recentSuccesses *= factor;
+        recentExtraAttempts *= factor;
+        decayedAtMillis = nowMillis;
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerSelector.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerSelector.java
@@ -14,4 +14,15 @@
      * @return one with room, or empty if none has any
      */
     Optional<WorkerState> select(List<WorkerState> workers);
+
+    /**
+     * Chooses a worker for a request whose prompt is known.
+     *
+     * @param request the request
+     * @param workers the workers that may take the request
+     * @return one with room, or empty if none has any
+     */
+    default Optional<WorkerState> select(RoutingRequest request, List<WorkerState> workers) {
+        return select(workers);
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -102,6 +102,7 @@
                 events,
                 policies,
                 settings.seed()));
+        this.dispatcher.identify(settings.nodeId());
         this.follower = new ConfigurationFollower(
                 vertx, platform, configuration, events, dispatcher::configure, settings.seed());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
@@ -180,8 +180,8 @@
                 : new WholeAnswerWriter(context.response(), ticket.id(), modelName);
         Buffer upstreamBody = body.put("stream", true).toBuffer();
         Service service = fileSet.services().get(model.service());
-        GenerateRequest upstreamRequest =
-                new GenerateRequest(ticket.id(), requestClass.tier().ordinal(), upstreamBody, service.silenceMillis());
+        GenerateRequest upstreamRequest = new GenerateRequest(
+                ticket.id(), requestClass.tier().ordinal(), upstreamBody, PromptText.of(body), service.silenceMillis());
         ModelRequest request =
                 new ModelRequest(ticket, upstreamRequest, context.vertx().getOrCreateContext(), sink);
         cancelWhenClosed(context, dispatcher.generate(request));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -4,6 +4,9 @@
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.core.routing.AttemptResult;
+import io.lagoonseam.core.routing.PromptPrefix;
+import io.lagoonseam.core.routing.RoutingRequest;
 import io.lagoonseam.core.verdict.Refusal;
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
@@ -18,14 +21,16 @@
 abstract class AbstractRequestRunner implements QueuedRequest, CancellableRequest {
 
     private static final int BAD_GATEWAY = 502;
-    private static final long RETRY_AFTER_FAILURE_MILLIS = 1_000;
 
     private final Dispatcher dispatcher;
     private final Ticket ticket;
     private final Context context;
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
+    private final ServiceRecovery recovery;
     private Upstream worker;
+    private AttemptResult attemptResult = AttemptResult.NEUTRAL;
+    private int failures;
     private boolean sent;
     private boolean ended;
 
@@ -34,6 +39,17 @@
         this.ticket = ticket;
         this.context = context;
         this.sink = sink;
+        this.recovery = dispatcher.recovery(ticket.requestClass().service());
+    }
+
+    /** Returns the leading blocks of the prompt. */
+    PromptPrefix prefix() {
+        return PromptPrefix.EMPTY;
+    }
+
+    /** Returns the tokens that the caller has. */
+    int deliveredTokens() {
+        return 0;
     }
 
     /** Runs one attempt on the caller's context. */
@@ -48,8 +64,8 @@
     }
 
     @Override
-    public final Set<String> excludedWorkers() {
-        return excludedWorkers;
+    public final RoutingRequest routing() {
+        return new RoutingRequest(ticket.requestClass().tier(), prefix(), Set.copyOf(excludedWorkers));
     }
 
     final Dispatcher dispatcher() {
@@ -76,7 +92,11 @@
         service().submit(this);
     }
 
-    private ServiceDispatcher service() {
+    final ServiceRecovery recovery() {
+        return recovery;
+    }
+
+    final ServiceDispatcher service() {
         return dispatcher.service(ticket.requestClass().service());
     }
 
@@ -84,17 +104,26 @@
     public final void start(Upstream chosen) {
         context.runOnContext(nothing -> {
             if (ended) {
-                dispatcher.decide(() -> service().release(chosen));
+                dispatcher.decide(() -> service().release(chosen, AttemptResult.NEUTRAL));
                 return;
             }
             worker = chosen;
+            attemptResult = AttemptResult.NEUTRAL;
             attempt(chosen);
         });
     }
 
     @Override
     public final void refuse(Refusal refusal) {
-        context.runOnContext(nothing -> endWithRefusal(refusal));
+        context.runOnContext(nothing -> endWithRefusal(sent ? afterSending(refusal) : refusal));
+    }
+
+    private static Refusal afterSending(Refusal refusal) {
+        Refusal.Builder builder = Refusal.builder(refusal.event(), refusal.httpStatus())
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .message(refusal.message());
+        refusal.retryAfterMillis().ifPresent(builder::retryAfterMillis);
+        return builder.build();
     }
 
     @Override
@@ -109,6 +138,9 @@
             abandonAttempt(worker);
             releaseWorker();
         }
+        if (deliveredTokens() > 0) {
+            dispatcher.metrics().wasted("callerGone", deliveredTokens());
+        }
     }
 
     final void markSent() {
@@ -120,25 +152,52 @@
     final void releaseWorker() {
         Upstream held = worker;
         worker = null;
+        AttemptResult result = attemptResult;
         if (held != null) {
-            dispatcher.decide(() -> service().release(held));
+            dispatcher.decide(() -> service().release(held, result));
         }
     }
 
+    /** Goes on with an attempt that was made beside the first one. */
+    final void replaceWorker(Upstream other) {
+        releaseWorker();
+        worker = other;
+        attemptResult = AttemptResult.NEUTRAL;
+    }
+
     /** Queues the request again, for another worker if there is one. */
     final void tryAnotherWorker() {
         excludedWorkers.add(worker.name());
         releaseWorker();
-        dispatcher.decide(this::submit);
+        long delayMillis = recovery.backoff().delayMillis(failures++);
+        context.owner().setTimer(Math.max(1, delayMillis), timer -> {
+            if (!ended) {
+                dispatcher.decide(() -> service().resubmit(this));
+            }
+        });
+    }
+
+    private static AttemptResult resultOf(AttemptFailure failure) {
+        return switch (failure.event()) {
+            case CONNECT_FAILED -> AttemptResult.UNREACHABLE;
+            case ANSWER_MISMATCHED -> AttemptResult.MISMATCHED;
+            case CONNECTION_BROKEN, UPSTREAM_ERROR -> AttemptResult.FAILED;
+            default -> AttemptResult.NEUTRAL;
+        };
+    }
+
+    final void noteFailure(AttemptFailure failure) {
+        attemptResult = resultOf(failure);
     }
 
     final boolean mayTryAgain(AttemptFailure failure) {
+        noteFailure(failure);
         boolean safe = ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
-        if (!safe) {
-            return false;
-        }
-        boolean allowed =
-                dispatcher.retryBudget(ticket.requestClass().service()).tryAcquire();
+        return safe && acquireExtraAttempt();
+    }
+
+    final boolean acquireExtraAttempt() {
+        boolean allowed = recovery.budget().tryAcquire();
         if (!allowed) {
             dispatcher.record(
                     EventCode.RETRY_BUDGET_SPENT, ticket.requestClass().service());
@@ -151,7 +210,7 @@
         return Refusal.builder(failure.event(), BAD_GATEWAY)
                 .verdict(verdict)
                 .message(failure.event().summary() + ": " + failure.message())
-                .retryAfterMillis(RETRY_AFTER_FAILURE_MILLIS)
+                .retryAfterMillis(service().retryAfterMillis())
                 .build();
     }
 
@@ -163,13 +222,18 @@
         dispatcher.invariants().check(Invariant.NOT_RUN_IS_TRUE, truthful, ticket.id());
         markEnded();
         releaseWorker();
+        if (deliveredTokens() > 0) {
+            dispatcher.metrics().wasted("refused", deliveredTokens());
+        }
         dispatcher.metrics().refused(ticket.requestClass().name(), refusal);
         sink.refused(refusal);
     }
 
     final void endWithAnswer(long firstTokenMillis, int tokens) {
         markEnded();
+        attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
+        recovery.budget().recordSuccess();
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
                 .metrics()
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -4,10 +4,12 @@
 import io.lagoonseam.core.audit.EventSink;
 import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.configuration.Service;
+import io.lagoonseam.core.configuration.ServiceKind;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.operation.OperationJournal;
-import io.lagoonseam.core.retry.RetryBudget;
+import io.lagoonseam.core.routing.Rendezvous;
+import io.lagoonseam.core.routing.WorkerTable;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.upstream.UpstreamClient;
 import java.util.List;
@@ -17,14 +19,15 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 
 /** Runs the decisions about all services on the decision threads. */
 public final class Dispatcher {
 
-    private static final double RETRY_SHARE = 0.1;
+    private static final int SUBSET_WORKERS = 64;
 
     private final Map<String, ServiceDispatcher> services = new ConcurrentHashMap<>();
-    private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
+    private final Map<String, ServiceRecovery> recoveries = new ConcurrentHashMap<>();
     private final Executor decisions;
     private final TimeSource time;
     private final UpstreamClient upstreams;
@@ -35,6 +38,8 @@
     private final ServicePolicies policies;
     private final Random random;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile Set<String> modelServices = Set.of();
+    private volatile String subsetOwner;
 
     /**
      * Creates a dispatcher without services.
@@ -51,6 +56,16 @@
         this.events = environment.events();
         this.policies = environment.policies();
         this.random = new Random(environment.seed());
+        this.subsetOwner = Long.toString(environment.seed());
+    }
+
+    /**
+     * Sets the name by which this node's subset of a large fleet is chosen; called before any configuration.
+     *
+     * @param nodeId the name of the node
+     */
+    public void identify(String nodeId) {
+        subsetOwner = nodeId;
     }
 
     /**
@@ -63,9 +78,13 @@
             List<Upstream> own = fileSet.upstreams().values().stream()
                     .filter(upstream -> upstream.service().equals(service.name()))
                     .toList();
-            retryBudgets.computeIfAbsent(service.name(), name -> new RetryBudget(RETRY_SHARE));
-            services.computeIfAbsent(service.name(), name -> newService()).configure(own);
+            services.computeIfAbsent(service.name(), name -> newService())
+                    .configure(Rendezvous.subset(subsetOwner, own, Upstream::name, SUBSET_WORKERS));
         }
+        modelServices = fileSet.services().values().stream()
+                .filter(service -> service.kind() == ServiceKind.MODEL)
+                .map(Service::name)
+                .collect(Collectors.toUnmodifiableSet());
         Set<String> kept = fileSet.services().keySet();
         services.forEach((name, service) -> {
             if (!kept.contains(name) && services.remove(name, service)) {
@@ -75,8 +94,8 @@
     }
 
     private ServiceDispatcher newService() {
-        return new ServiceDispatcher(
-                policies.admission().get(), policies.selector().apply(new Random(random.nextLong())), time, invariants);
+        WorkerTable workers = new WorkerTable(policies.routing(), time, new Random(random.nextLong()));
+        return new ServiceDispatcher(policies.admission().get(), workers, time, invariants);
     }
 
     /**
@@ -93,13 +112,23 @@
         decisions.execute(() -> services.values().forEach(ServiceDispatcher::pump));
     }
 
-    /** Asks every upstream for its load. */
+    /** Asks every upstream of this node's subset for its load, and engines for the events of their caches. */
     public void pollLoad() {
-        services.values()
-                .forEach(service -> service.upstreams()
-                        .forEach(upstream -> upstreams
-                                .readWaiting(upstream)
-                                .onSuccess(waiting -> service.report(upstream.name(), waiting))));
+        services.forEach((name, service) -> {
+            boolean cached = modelServices.contains(name);
+            for (Upstream upstream : service.upstreams()) {
+                upstreams.readLoad(upstream).onSuccess(report -> decide(() -> service.report(upstream.name(), report)));
+                if (cached) {
+                    pollCache(service, upstream);
+                }
+            }
+        });
+    }
+
+    private void pollCache(ServiceDispatcher service, Upstream upstream) {
+        upstreams
+                .readCacheEvents(upstream, service.lastCacheEvent(upstream.name()))
+                .onSuccess(list -> decide(() -> service.cacheEvents(upstream.name(), list)));
     }
 
     /**
@@ -130,7 +159,7 @@
 
     private void begin(String service) {
         inFlight.incrementAndGet();
-        retryBudget(service).recordFirstAttempt();
+        recovery(service).budget().recordFirstAttempt();
     }
 
     void finished() {
@@ -150,8 +179,8 @@
         return services.computeIfAbsent(name, unknown -> newService());
     }
 
-    RetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(service, name -> new RetryBudget(RETRY_SHARE));
+    ServiceRecovery recovery(String service) {
+        return recoveries.computeIfAbsent(service, name -> new ServiceRecovery(time, new Random(random.nextLong())));
     }
 
     void decide(Runnable decision) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/QueuedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/QueuedRequest.java
@@ -2,8 +2,8 @@
 
 import io.lagoonseam.core.admission.Ticket;
 import io.lagoonseam.core.configuration.Upstream;
+import io.lagoonseam.core.routing.RoutingRequest;
 import io.lagoonseam.core.verdict.Refusal;
-import java.util.Set;
 
 /** A request that waits for a worker. Its methods are called on a decision thread without any lock held. */
 interface QueuedRequest {
@@ -16,11 +16,11 @@
     Ticket ticket();
 
     /**
-     * Returns the workers that failed this request already.
+     * Returns the request as routing sees it.
      *
-     * @return names of upstreams
+     * @return its tier, its prompt and the workers that failed it already
      */
-    Set<String> excludedWorkers();
+    RoutingRequest routing();
 
     /**
      * Starts an attempt; the worker is held until it is released.
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/RouterMetrics.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/RouterMetrics.java
@@ -54,4 +54,13 @@
     public void wasted(String cause, int tokens) {
         registry.counter("wasted.tokens." + cause).inc(tokens);
     }
+
+    /**
+     * Counts an attempt beyond the first one of a request.
+     *
+     * @param kind retry, hedge, resume or continuation
+     */
+    public void extraAttempt(String kind) {
+        registry.counter("attempts.extra." + kind).inc();
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -10,15 +10,18 @@
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.lock.LockRank;
 import io.lagoonseam.core.lock.RankedLock;
-import io.lagoonseam.core.routing.WorkerSelector;
-import io.lagoonseam.core.routing.WorkerState;
+import io.lagoonseam.core.retry.RetryAfterEstimate;
+import io.lagoonseam.core.routing.AttemptResult;
+import io.lagoonseam.core.routing.CacheEvent;
+import io.lagoonseam.core.routing.RoutingRequest;
+import io.lagoonseam.core.routing.WorkerTable;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.core.verdict.Refusal;
+import io.lagoonseam.entry.upstream.LoadReport;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,75 +30,61 @@
 /** The queue and the workers of one service, under one lock. */
 final class ServiceDispatcher {
 
+    private static final long INITIAL_RETRY_AFTER_MILLIS = 1_000;
+
     private final RankedLock lock = new RankedLock(LockRank.SERVICE);
     private final AdmissionController admission;
     private final Map<String, QueuedRequest> waiting = new HashMap<>();
-    private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
-    private final WorkerSelector selector;
+    private final WorkerTable workers;
+    private final RetryAfterEstimate retryAfter;
     private final TimeSource time;
     private final InvariantMonitor invariants;
+    private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
     ServiceDispatcher(
-            AdmissionController admission, WorkerSelector selector, TimeSource time, InvariantMonitor invariants) {
+            AdmissionController admission, WorkerTable workers, TimeSource time, InvariantMonitor invariants) {
         this.admission = admission;
-        this.selector = selector;
+        this.workers = workers;
+        this.retryAfter = new RetryAfterEstimate(time);
         this.time = time;
         this.invariants = invariants;
     }
 
-    private static final class WorkerEntry {
-        private Upstream upstream;
-        private int inFlight;
-        private double reportedWaiting;
-        private long reportedAtMillis;
-        private boolean leaving;
-        private boolean configured = true;
-
-        private WorkerEntry(Upstream upstream) {
-            this.upstream = upstream;
-        }
-
-        private WorkerState state(long nowMillis) {
-            return new WorkerState(
-                    upstream.name(), inFlight, upstream.concurrency(), reportedWaiting, nowMillis - reportedAtMillis);
-        }
-    }
-
     private record Assignment(QueuedRequest request, Upstream worker) {}
 
     void configure(Collection<Upstream> upstreams) {
-        lock.run(() -> {
-            workers.values().forEach(worker -> worker.configured = false);
-            for (Upstream upstream : upstreams) {
-                WorkerEntry worker = workers.computeIfAbsent(upstream.name(), name -> new WorkerEntry(upstream));
-                worker.upstream = upstream;
-                worker.configured = true;
-            }
-            workers.values().removeIf(worker -> !worker.configured && worker.inFlight == 0);
-        });
+        lock.run(() -> workers.configure(upstreams));
         pump();
     }
 
     void markLeaving(Set<String> names) {
-        lock.run(() -> workers.values().forEach(worker -> worker.leaving = names.contains(worker.upstream.name())));
+        lock.run(() -> workers.markLeaving(names));
         pump();
     }
 
-    void report(String workerName, int waitingCount) {
-        lock.run(() -> {
-            WorkerEntry worker = workers.get(workerName);
-            if (worker != null) {
-                worker.reportedWaiting = waitingCount;
-                worker.reportedAtMillis = time.monotonicMillis();
-            }
-        });
+    void report(String workerName, LoadReport report) {
+        lock.run(() -> workers.report(workerName, report.running(), report.waiting()));
+    }
+
+    void cacheEvents(String workerName, List<CacheEvent> events) {
+        lock.run(() -> events.forEach(event -> workers.cacheEvent(workerName, event)));
+    }
+
+    long lastCacheEvent(String workerName) {
+        return lock.call(() -> workers.lastCacheEvent(workerName));
+    }
+
+    void observePace(String workerName, double gapMillis) {
+        lock.run(() -> workers.observePace(workerName, gapMillis));
     }
 
     List<Upstream> upstreams() {
-        return lock.call(() -> workers.values().stream()
-                .filter(worker -> worker.configured)
-                .map(worker -> worker.upstream)
-                .toList());
+        return lock.call(workers::upstreams);
+    }
+
+    /** Returns when a refused caller should come back, from the measured pace of answers. */
+    long retryAfterMillis() {
+        return retryAfterMillis;
     }
 
     void submit(QueuedRequest request) {
@@ -116,14 +105,34 @@
         return lock.call(() -> waiting.remove(id) != null && admission.cancel(id));
     }
 
-    void release(Upstream upstream) {
+    /** Goes on with a request that was admitted before: at once if a worker has room, otherwise through the queue. */
+    void resubmit(QueuedRequest request) {
+        Optional<Upstream> worker = acquire(request.routing());
+        if (worker.isPresent()) {
+            request.start(worker.get());
+        } else {
+            submit(request);
+        }
+    }
+
+    /** Holds a worker for an attempt outside the queue. */
+    Optional<Upstream> acquire(RoutingRequest request) {
+        return lock.call(() -> workers.hasRoom() ? take(request) : Optional.empty());
+    }
+
+    private Optional<Upstream> take(RoutingRequest request) {
+        Optional<Upstream> worker = workers.acquire(request);
+        worker.ifPresent(chosen ->
+                invariants.check(Invariant.LEAVING_GETS_NO_WORK, !workers.isLeaving(chosen.name()), chosen.name()));
+        return worker;
+    }
+
+    void release(Upstream upstream, AttemptResult result) {
         lock.run(() -> {
-            WorkerEntry worker = workers.get(upstream.name());
-            if (worker != null) {
-                worker.inFlight--;
-                if (!worker.configured && worker.inFlight == 0) {
-                    workers.remove(upstream.name());
-                }
+            workers.observeResult(upstream.name(), result);
+            workers.release(upstream.name());
+            if (result == AttemptResult.SUCCEEDED) {
+                retryAfter.answered();
             }
         });
         pump();
@@ -144,6 +153,7 @@
             expired.forEach(
                     shed -> expiredRequests.add(waiting.remove(shed.ticket().id())));
             assign(nowMillis, assignments);
+            retryAfterMillis = retryAfter.retryAfterMillis(admission.size());
         });
         for (int index = 0; index < expired.size(); index++) {
             expiredRequests.get(index).refuse(expired.get(index).refusal());
@@ -152,41 +162,15 @@
     }
 
     private void assign(long nowMillis, List<Assignment> assignments) {
-        while (hasRoom()) {
+        while (workers.hasRoom()) {
             Optional<Ticket> next = admission.poll(nowMillis);
             if (next.isEmpty()) {
                 return;
             }
             QueuedRequest request = waiting.remove(next.get().id());
-            WorkerEntry worker = choose(request, nowMillis);
-            worker.inFlight++;
-            invariants.check(Invariant.LEAVING_GETS_NO_WORK, !worker.leaving, worker.upstream.name());
-            assignments.add(new Assignment(request, worker.upstream));
-        }
-    }
-
-    private boolean hasRoom() {
-        return workers.values().stream().anyMatch(ServiceDispatcher::open);
-    }
-
-    private static boolean open(WorkerEntry worker) {
-        return worker.configured && !worker.leaving && worker.inFlight < worker.upstream.concurrency();
-    }
-
-    private WorkerEntry choose(QueuedRequest request, long nowMillis) {
-        List<WorkerState> open = new ArrayList<>();
-        List<WorkerState> untried = new ArrayList<>();
-        for (WorkerEntry worker : workers.values()) {
-            if (open(worker)) {
-                WorkerState state = worker.state(nowMillis);
-                open.add(state);
-                if (!request.excludedWorkers().contains(worker.upstream.name())) {
-                    untried.add(state);
-                }
-            }
+            Upstream worker = take(request.routing()).orElseThrow();
+            assignments.add(new Assignment(request, worker));
         }
-        WorkerState chosen = selector.select(untried.isEmpty() ? open : untried).orElseThrow();
-        return workers.get(chosen.name());
     }
 
     /** Refuses every waiting request, for a service that was removed. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServicePolicies.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServicePolicies.java
@@ -2,7 +2,7 @@
 
 import io.lagoonseam.core.admission.AdmissionController;
 import io.lagoonseam.core.admission.DefaultAdmissionController;
-import io.lagoonseam.core.routing.TwoChoicesSelector;
+import io.lagoonseam.core.routing.RoutingPolicy;
 import io.lagoonseam.core.routing.WorkerSelector;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -12,10 +12,20 @@
  * The policies of each service.
  *
  * @param admission creates the queues of a service
- * @param selector creates the routing of a service from a source of randomness
+ * @param routing how workers are chosen and limited
  */
-public record ServicePolicies(
-        Supplier<AdmissionController> admission, Function<RandomGenerator, WorkerSelector> selector) {
+public record ServicePolicies(Supplier<AdmissionController> admission, RoutingPolicy routing) {
+
+    /**
+     * Creates policies with fixed limits for each worker, to compare them.
+     *
+     * @param admission creates the queues of a service
+     * @param selector creates the routing of a service from a source of randomness
+     */
+    public ServicePolicies(
+            Supplier<AdmissionController> admission, Function<RandomGenerator, WorkerSelector> selector) {
+        this(admission, RoutingPolicy.fixed(selector));
+    }
 
     /**
      * Returns the policies that the daemon runs.
@@ -23,6 +33,6 @@
      * @return the standard policies
      */
     public static ServicePolicies standard() {
-        return new ServicePolicies(DefaultAdmissionController::new, TwoChoicesSelector::new);
+        return new ServicePolicies(DefaultAdmissionController::new, RoutingPolicy.standard());
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/GenerateRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/GenerateRequest.java
@@ -8,6 +8,7 @@
  * @param requestId the id that the answer must carry
  * @param priority the priority, lower being more urgent
  * @param body the JSON body
+ * @param prompt the text of the prompt, for prefix affinity
  * @param silenceMillis the longest time without a byte
  */
-public record GenerateRequest(String requestId, int priority, Buffer body, long silenceMillis) {}
+public record GenerateRequest(String requestId, int priority, Buffer body, String prompt, long silenceMillis) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/StreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/StreamAttempt.java
@@ -2,10 +2,12 @@
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.verdict.Verdict;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -16,26 +18,41 @@
 
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
-    private static final String DATA = "data: ";
-    private static final String ID = "id: ";
     private static final String DONE = "[DONE]";
+    private static final long MIN_LIFE_TEST_MILLIS = 50;
+    private static final int LIFE_TEST_DIVISOR = 4;
 
     private final Vertx vertx;
+    private final Context context;
+    private final UpstreamConnections.Key upstream;
+    private final UpstreamConnections connections;
     private final String requestId;
-    private final long silenceMillis;
+    private final StreamLimits limits;
     private final StreamListener listener;
     private final EventStreamParser parser = new EventStreamParser(this::event);
     private HttpClientRequest request;
     private long lastByteNanos = System.nanoTime();
     private long timer = -1;
+    private long silenceMillis;
     private int nextIndex;
     private int wholeTokens = -1;
     private boolean ended;
 
-    StreamAttempt(Vertx vertx, String requestId, long silenceMillis, int offset, StreamListener listener) {
+    StreamAttempt(
+            Vertx vertx,
+            UpstreamConnections connections,
+            UpstreamConnections.Key upstream,
+            String requestId,
+            StreamLimits limits,
+            int offset,
+            StreamListener listener) {
         this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.connections = connections;
+        this.upstream = upstream;
         this.requestId = requestId;
-        this.silenceMillis = silenceMillis;
+        this.limits = limits;
+        this.silenceMillis = limits.firstTokenMillis();
         this.nextIndex = offset;
         this.listener = listener;
     }
@@ -50,6 +67,7 @@
             return;
         }
         request = connected;
+        connections.attach(upstream, this);
         armSilenceTimer(silenceMillis);
         listener.sending();
         (body == null ? connected.send() : connected.send(body)).onComplete(answer -> {
@@ -61,6 +79,22 @@
         });
     }
 
+    HttpConnection connection() {
+        return request.connection();
+    }
+
+    /** Drops the attempt as silent if nothing comes within a window; called for the mates of a silent connection. */
+    void testLife(long windowMillis) {
+        context.runOnContext(nothing -> {
+            long before = lastByteNanos;
+            vertx.setTimer(windowMillis, fired -> {
+                if (!ended && lastByteNanos == before) {
+                    silent("no life within " + windowMillis + " ms beside a silent connection");
+                }
+            });
+        });
+    }
+
     /** Stops reading and closes the connection; the listener hears nothing more. */
     public void abandon() {
         if (!ended) {
@@ -137,6 +171,7 @@
             return;
         }
         nextIndex++;
+        expectNextToken();
         listener.token(index, choice.getJsonObject("delta", new JsonObject()).getString("content", ""));
     }
 
@@ -163,6 +198,14 @@
         end(EventCode.CONNECTION_BROKEN, Verdict.MAY_HAVE_RUN, String.valueOf(cause.getMessage()), true);
     }
 
+    private void expectNextToken() {
+        if (silenceMillis != limits.betweenTokensMillis()) {
+            silenceMillis = limits.betweenTokensMillis();
+            vertx.cancelTimer(timer);
+            armSilenceTimer(silenceMillis);
+        }
+    }
+
     private void armSilenceTimer(long delayMillis) {
         timer = vertx.setTimer(Math.max(1, delayMillis), fired -> checkSilence());
     }
@@ -176,8 +219,17 @@
             armSilenceTimer(silenceMillis - silentMillis);
             return;
         }
-        end(EventCode.UPSTREAM_SILENT, Verdict.MAY_HAVE_RUN, "nothing for " + silentMillis + " ms", true);
-        request.reset();
+        connections.testMates(upstream, this, lifeTestMillis());
+        silent("nothing for " + silentMillis + " ms");
+    }
+
+    private long lifeTestMillis() {
+        return Math.max(MIN_LIFE_TEST_MILLIS, silenceMillis / LIFE_TEST_DIVISOR);
+    }
+
+    private void silent(String message) {
+        request.connection().close();
+        end(EventCode.UPSTREAM_SILENT, Verdict.MAY_HAVE_RUN, message, true);
     }
 
     private void end(EventCode event, Verdict verdict, String message, boolean resumable) {
@@ -190,46 +242,6 @@
     private void finish() {
         ended = true;
         vertx.cancelTimer(timer);
-    }
-
-    /** Splits a stream of server-sent events. */
-    static final class EventStreamParser {
-
-        private final EventHandler handler;
-        private Buffer pending = Buffer.buffer();
-        private String id;
-
-        EventStreamParser(EventHandler handler) {
-            this.handler = handler;
-        }
-
-        /** Receives one event. */
-        @FunctionalInterface
-        interface EventHandler {
-            void event(String id, String data);
-        }
-
-        void accept(Buffer chunk) {
-            pending.appendBuffer(chunk);
-            int start = 0;
-            for (int end = 0; end < pending.length(); end++) {
-                if (pending.getByte(end) == '\n') {
-                    line(pending.getString(start, end));
-                    start = end + 1;
-                }
-            }
-            pending = pending.getBuffer(start, pending.length());
-        }
-
-        private void line(String line) {
-            String text = line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
-            if (text.startsWith(ID)) {
-                id = text.substring(ID.length());
-            } else if (text.startsWith(DATA)) {
-                String eventId = id;
-                id = null;
-                handler.event(eventId, text.substring(DATA.length()));
-            }
-        }
+        connections.detach(upstream, this);
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
+import io.lagoonseam.core.routing.CacheEvent;
 import io.lagoonseam.core.verdict.Verdict;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -13,7 +14,10 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.stream.IntStream;
 
 /** Calls upstreams over HTTP. */
 public final class UpstreamClient {
@@ -24,6 +28,8 @@
 
     private final Vertx vertx;
     private final HttpClient client;
+    private final HttpClient streamClient;
+    private final UpstreamConnections connections = new UpstreamConnections();
 
     /**
      * Creates a client.
@@ -32,9 +38,14 @@
      */
     public UpstreamClient(Vertx vertx) {
         this.vertx = vertx;
-        this.client = vertx.createHttpClient(
-                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
-                new PoolOptions().setHttp1MaxSize(POOL_SIZE));
+        HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(POOL_SIZE);
+        this.client = vertx.createHttpClient(options, pool);
+        this.streamClient = vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(connections::opened)
+                .build();
     }
 
     private static RequestOptions options(HttpMethod method, Upstream upstream, String path) {
@@ -51,11 +62,13 @@
      *
      * @param upstream the engine
      * @param request the request
+     * @param limits when the stream counts as silent
      * @param offset the tokens that the caller has already
      * @param listener receives what comes
      * @return the attempt
      */
-    public StreamAttempt generate(Upstream upstream, GenerateRequest request, int offset, StreamListener listener) {
+    public StreamAttempt generate(
+            Upstream upstream, GenerateRequest request, StreamLimits limits, int offset, StreamListener listener) {
         RequestOptions options = options(HttpMethod.POST, upstream, "/v1/chat/completions")
                 .putHeader("Content-Type", "application/json")
                 .putHeader("X-Request-Id", request.requestId())
@@ -63,7 +76,8 @@
         if (offset > 0) {
             options.putHeader("X-Continue-Offset", Integer.toString(offset));
         }
-        return stream(options, request, offset, request.body(), listener);
+        StreamAttempt attempt = newAttempt(upstream, request, limits, offset, listener);
+        return connect(attempt, options, request.body());
     }
 
     /**
@@ -72,21 +86,31 @@
      * @param upstream the engine
      * @param streamId the id of the stream
      * @param request the request that opened it
+     * @param limits when the stream counts as silent
      * @param offset the tokens that the caller has already
      * @param listener receives what comes
      * @return the attempt
      */
     public StreamAttempt resume(
-            Upstream upstream, String streamId, GenerateRequest request, int offset, StreamListener listener) {
+            Upstream upstream,
+            String streamId,
+            GenerateRequest request,
+            StreamLimits limits,
+            int offset,
+            StreamListener listener) {
         RequestOptions options = options(HttpMethod.GET, upstream, "/streams/" + streamId + "?offset=" + offset);
-        return stream(options, request, offset, null, listener);
+        StreamAttempt attempt = newAttempt(upstream, request, limits, offset, listener);
+        return connect(attempt, options, null);
     }
 
-    private StreamAttempt stream(
-            RequestOptions options, GenerateRequest request, int offset, Buffer body, StreamListener listener) {
-        StreamAttempt attempt =
-                new StreamAttempt(vertx, request.requestId(), request.silenceMillis(), offset, listener);
-        client.request(options).onComplete(connected -> {
+    private StreamAttempt newAttempt(
+            Upstream upstream, GenerateRequest request, StreamLimits limits, int offset, StreamListener listener) {
+        UpstreamConnections.Key key = new UpstreamConnections.Key(upstream.host(), upstream.port());
+        return new StreamAttempt(vertx, connections, key, request.requestId(), limits, offset, listener);
+    }
+
+    private StreamAttempt connect(StreamAttempt attempt, RequestOptions options, Buffer body) {
+        streamClient.request(options).onComplete(connected -> {
             if (connected.succeeded()) {
                 attempt.send(connected.result(), body);
             } else {
@@ -168,16 +192,39 @@
         listener.answered(identified.answer());
     }
 
+    /**
+     * Reads the events of an engine's prefix cache.
+     *
+     * @param upstream the engine
+     * @param after the number of the last event that is known
+     * @return later events, of which some may be missing
+     */
+    public Future<List<CacheEvent>> readCacheEvents(Upstream upstream, long after) {
+        return client.request(options(HttpMethod.GET, upstream, "/cache/events?after=" + after))
+                .compose(request -> request.idleTimeout(REPORT_TIMEOUT_MILLIS).send())
+                .compose(HttpClientResponse::body)
+                .map(body -> new JsonObject(body).getJsonArray("events", new JsonArray()))
+                .map(events -> IntStream.range(0, events.size())
+                        .mapToObj(index -> cacheEvent(events.getJsonObject(index)))
+                        .toList());
+    }
+
+    private static CacheEvent cacheEvent(JsonObject event) {
+        return new CacheEvent(
+                event.getLong("sequence"), event.getInteger("block"), "stored".equals(event.getString("kind")));
+    }
+
     /**
      * Reads an upstream's load report.
      *
      * @param upstream the upstream
-     * @return the requests waiting there by its own report
+     * @return the requests running and waiting there by its own report
      */
-    public Future<Integer> readWaiting(Upstream upstream) {
+    public Future<LoadReport> readLoad(Upstream upstream) {
         return client.request(options(HttpMethod.GET, upstream, "/load"))
                 .compose(request -> request.idleTimeout(REPORT_TIMEOUT_MILLIS).send())
                 .compose(HttpClientResponse::body)
-                .map(body -> new JsonObject(body).getInteger("waiting", 0));
+                .map(JsonObject::new)
+                .map(body -> new LoadReport(body.getInteger("running", 0), body.getInteger("waiting", 0)));
     }
 }
--- /dev/null
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/StreamRecoveryTest.java
@@ -0,0 +1,192 @@
+package io.lagoonseam.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.standin.engine.AnswerText;
+import io.vertx.core.json.JsonObject;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+public final class StreamRecoveryTest {
+
+    private static final int REQUESTS = 40;
+
+    private EngineFleet fleet;
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> ask(String label, int requests) {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int index = 0; index < requests; index++) {
+            answers.add(fleet.ask(label + index));
+        }
+        return answers;
+    }
+
+    /** Earns a budget for further attempts and lets the node learn the usual pace. */
+    private void warmUp() {
+        for (int round = 0; round < 5; round++) {
+            ask("warm " + round + " ", REQUESTS).forEach(CompletableFuture::join);
+        }
+    }
+
+    private static void assertOwnAnswers(String label, List<CompletableFuture<HttpResponse<String>>> answers) {
+        for (int index = 0; index < answers.size(); index++) {
+            HttpResponse<String> response = answers.get(index).join();
+            assertEquals(response.statusCode(), 200, response.body());
+            assertEquals(text(response), expected(label + index));
+        }
+    }
+
+    /** Returns how many were answered; the others must have got a refusal that says when to come back. */
+    private static int assertOwnAnswersOrRefusals(String label, List<CompletableFuture<HttpResponse<String>>> answers) {
+        int answered = 0;
+        for (int index = 0; index < answers.size(); index++) {
+            HttpResponse<String> response = answers.get(index).join();
+            if (response.statusCode() == 200) {
+                assertEquals(text(response), expected(label + index));
+                answered++;
+            } else {
+                assertTrue(response.headers().firstValue("Retry-After").isPresent(), response.body());
+            }
+        }
+        return answered;
+    }
+
+    private static String text(HttpResponse<String> response) {
+        return new JsonObject(response.body())
+                .getJsonArray("choices")
+                .getJsonObject(0)
+                .getJsonObject("message")
+                .getString("content");
+    }
+
+    private static String expected(String prompt) {
+        return AnswerText.whole(prompt, AnswerText.length(prompt, Integer.MAX_VALUE));
+    }
+
+    private void awaitRunning(int engine) throws Exception {
+        while (fleet.engineCounters(engine).getInteger("running") == 0) {
+            Thread.sleep(2);
+        }
+    }
+
+    private void awaitTokens(int engine) throws Exception {
+        long before = fleet.engineCounters(engine).getLong("generatedTokens");
+        while (fleet.engineCounters(engine).getLong("generatedTokens") < before + 20) {
+            Thread.sleep(2);
+        }
+    }
+
+    @Test
+    public void crashMidAnswerIsContinuedOnAnotherWorker() throws Exception {
+        fleet = new EngineFleet(3, 5, "urgent", true);
+        warmUp();
+        List<CompletableFuture<HttpResponse<String>>> answers = ask("crash ", REQUESTS);
+        awaitRunning(0);
+        awaitTokens(0);
+        fleet.fault(0, new JsonObject().put("crashed", true));
+        assertOwnAnswers("crash ", answers);
+        assertTrue(fleet.counter("attempts.extra.continuation") > 0, "nothing was continued");
+        assertEquals(fleet.violations(), List.of());
+    }
+
+    @Test
+    public void silentConnectionsAreResumed() throws Exception {
+        fleet = new EngineFleet(3, 5, "urgent", true);
+        warmUp();
+        List<CompletableFuture<HttpResponse<String>>> answers = ask("silent ", REQUESTS);
+        for (int engine = 0; engine < fleet.engineCount(); engine++) {
+            awaitRunning(engine);
+            fleet.fault(engine, new JsonObject().put("silenceShare", 0.33));
+        }
+        assertOwnAnswers("silent ", answers);
+        assertTrue(fleet.counter("attempts.extra.resume") > 0, "nothing was resumed");
+        assertEquals(fleet.violations(), List.of());
+    }
+
+    @Test
+    public void silentStreamOfNonIdempotentClassIsResumedNotRepeated() throws Exception {
+        fleet = new EngineFleet(1, 5, "standard", false);
+        warmUp();
+        long arrivals = fleet.engineCounters(0).getLong("arrivals");
+        List<CompletableFuture<HttpResponse<String>>> answers = ask("once ", 10);
+        awaitTokens(0);
+        fleet.fault(0, new JsonObject().put("silenceShare", 1.0));
+        assertOwnAnswersOrRefusals("once ", answers);
+        assertEquals(fleet.engineCounters(0).getLong("arrivals") - arrivals, 10);
+        assertTrue(fleet.counter("attempts.extra.resume") > 0, "nothing was resumed");
+        assertEquals(fleet.node().invariants().violations(Invariant.AT_MOST_ONCE), 0);
+    }
+
+    @Test
+    public void crossedAnswersNeverReachCallers() throws Exception {
+        fleet = new EngineFleet(3, 5, "urgent", true);
+        warmUp();
+        fleet.fault(1, new JsonObject().put("crossed", true));
+        List<CompletableFuture<HttpResponse<String>>> answers = ask("crossed ", REQUESTS);
+        int answered = assertOwnAnswersOrRefusals("crossed ", answers);
+        assertTrue(answered >= REQUESTS * 0.9, "answered " + answered);
+        assertTrue(fleet.count(EventCode.ANSWER_MISMATCHED) > 0, "nothing was crossed");
+        assertEquals(fleet.violations(), List.of());
+    }
+
+    @Test
+    public void lateAnswersAreWhole() throws Exception {
+        fleet = new EngineFleet(2, 5, "urgent", true);
+        warmUp();
+        fleet.fault(0, new JsonObject().put("lateMillis", 400));
+        fleet.fault(1, new JsonObject().put("lateMillis", 400));
+        assertOwnAnswersOrRefusals("late ", ask("late ", REQUESTS));
+        assertEquals(fleet.violations(), List.of());
+    }
+
+    @Test
+    public void callerGoneCancelsUpstreamWork() throws Exception {
+        fleet = new EngineFleet(1, 20, "standard", true);
+        CompletableFuture<HttpResponse<String>> answer = fleet.ask("gone");
+        awaitTokensOf(5);
+        answer.cancel(true);
+        while (fleet.engineCounters(0).getLong("cancelledTokens") == 0) {
+            Thread.sleep(5);
+        }
+        assertEquals(fleet.engineCounters(0).getInteger("running").intValue(), 0);
+        assertTrue(fleet.counter("wasted.tokens.callerGone") > 0, "no waste was counted");
+    }
+
+    private void awaitTokensOf(int tokens) throws Exception {
+        while (fleet.engineCounters(0).getLong("generatedTokens") < tokens) {
+            Thread.sleep(2);
+        }
+    }
+
+    @Test
+    public void totalFailureIsRefusedWithTruthAndFewRetries() throws Exception {
+        fleet = new EngineFleet(3, 5, "urgent", true);
+        warmUp();
+        for (int engine = 0; engine < fleet.engineCount(); engine++) {
+            fleet.fault(engine, new JsonObject().put("crashed", true));
+        }
+        int requests = 400;
+        List<CompletableFuture<HttpResponse<String>>> answers = ask("down ", requests);
+        int answered = assertOwnAnswersOrRefusals("down ", answers);
+        assertEquals(answered, 0);
+        long extra = fleet.counter("attempts.extra.retry")
+                + fleet.counter("attempts.extra.hedge")
+                + fleet.counter("attempts.extra.resume");
+        assertTrue(extra < 0.2 * requests, extra + " further attempts for " + requests);
+        assertEquals(fleet.violations(), List.of());
+    }
+}
