--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -192,8 +192,11 @@
 
     final boolean mayTryAgain(AttemptFailure failure) {
         noteFailure(failure);
-        boolean safe = ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
-        return safe && acquireExtraAttempt();
+        return safeToRepeat(failure) && acquireExtraAttempt();
+    }
+
+    final boolean safeToRepeat(AttemptFailure failure) {
+        return ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
     }
 
     final boolean acquireExtraAttempt() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
@@ -29,6 +29,10 @@
     private GenerateAttempt primary;
     private GenerateAttempt hedge;
     private boolean hedged;
+
+    /** Whether an extra attempt was taken for a resume that has brought nothing, so that it pays for the next one. */
+    private boolean resumeUnopened;
+
     private long firstTokenMillis = -1;
 
     ModelRequestRunner(Dispatcher dispatcher, ModelRequest request) {
@@ -143,6 +147,7 @@
     @Override
     public void token(GenerateAttempt attempt, int index, String text) {
         settleHedge(attempt);
+        resumeUnopened = false;
         boolean next = progress.accept(index);
         dispatcher().invariants().check(Invariant.OWN_ANSWER_WHOLE, next, ticket().id() + " at token " + index);
         if (!next) {
@@ -201,6 +206,7 @@
         if (primary.resumableAfter(failure) && acquireExtraAttempt()) {
             dispatcher().record(EventCode.STREAM_RESUMED, ticket().id() + " at " + progress.tokens());
             dispatcher().metrics().extraAttempt("resume");
+            resumeUnopened = true;
             primary.resume(limits(), progress.tokens());
             return;
         }
@@ -211,7 +217,9 @@
         if (failure.verdict() != Verdict.NOT_RUN) {
             primary.cancel();
         }
-        if (!mayTryAgain(failure)) {
+        boolean allowed = safeToRepeat(failure) && (resumeUnopened || acquireExtraAttempt());
+        resumeUnopened = false;
+        if (!allowed) {
             endWithRefusal(refusalOf(failure));
             return;
         }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/EngineFleet.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/EngineFleet.java
@@ -32,7 +32,7 @@
 
     private static final String SALT = "00112233445566778899aabbccddeeff";
 
-    private final HttpClient client = HttpClient.newHttpClient();
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final Vertx vertx = Vertx.vertx();
     private final List<ModelEngineStandIn> engines = new ArrayList<>();
     private final Map<EventCode, AtomicInteger> events = new ConcurrentHashMap<>();
