--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -228,11 +228,12 @@
         if (deliveredTokens() > 0) {
             dispatcher.metrics().wasted("refused", deliveredTokens());
         }
-        dispatcher.metrics().refused(ticket.requestClass().name(), refusal);
+        dispatcher.metrics().refused(ticket, refusal);
         sink.refused(refusal);
     }
 
     final void endWithAnswer(long firstTokenMillis, int tokens) {
+        String workerName = worker == null ? BoundedNames.OTHER : worker.name();
         markEnded();
         attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
@@ -241,7 +242,13 @@
         dispatcher
                 .metrics()
                 .answered(new RequestOutcome(
-                        ticket.requestClass(), ticket.serviceLevel(), firstTokenMillis, totalMillis, tokens));
+                        ticket.requestClass(),
+                        ticket.workspace(),
+                        workerName,
+                        ticket.serviceLevel(),
+                        firstTokenMillis,
+                        totalMillis,
+                        tokens));
     }
 
     private void markEnded() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -95,7 +95,7 @@
 
     private ServiceDispatcher newService() {
         WorkerTable workers = new WorkerTable(policies.routing(), time, new Random(random.nextLong()));
-        return new ServiceDispatcher(policies.admission().get(), workers, time, invariants);
+        return new ServiceDispatcher(policies.admission().get(), workers, time, invariants, metrics);
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -39,10 +39,16 @@
     private final RetryAfterEstimate retryAfter;
     private final TimeSource time;
     private final InvariantMonitor invariants;
+    private final RouterMetrics metrics;
     private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
     ServiceDispatcher(
-            AdmissionController admission, WorkerTable workers, TimeSource time, InvariantMonitor invariants) {
+            AdmissionController admission,
+            WorkerTable workers,
+            TimeSource time,
+            InvariantMonitor invariants,
+            RouterMetrics metrics) {
+        this.metrics = metrics;
         this.admission = admission;
         this.workers = workers;
         this.retryAfter = new RetryAfterEstimate(time);
@@ -168,7 +174,12 @@
                 return;
             }
             QueuedRequest request = waiting.remove(next.get().id());
-            Upstream worker = take(request.routing()).orElseThrow();
+            RoutingRequest routing = request.routing();
+            Upstream worker = take(routing).orElseThrow();
+            if (routing.excludedWorkers().isEmpty()) {
+                metrics.started(
+                        next.get(), worker.name(), nowMillis - next.get().arrivalMillis());
+            }
             assignments.add(new Assignment(request, worker));
         }
     }
