--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,13 +1,21 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.experiment.fault.FaultExperiment;
 import java.util.List;
 import java.util.Optional;
 
 /** The list of all experiments. */
 public final class Experiments {
 
-    private static final List<Experiment> ALL = List.of(new BurstExperiment());
+    private static final List<Experiment> ALL = List.of(
+            new BurstExperiment(),
+            FaultExperiment.straggler(),
+            FaultExperiment.crash(),
+            FaultExperiment.silent(),
+            FaultExperiment.crossed(),
+            new RouterCostExperiment());
 
     private Experiments() {}
 
