--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.bench.fleet.LocalFleet;
 import io.lagoonseam.bench.traffic.ClassReport;
 import io.lagoonseam.bench.traffic.TrafficGenerator;
+import io.lagoonseam.bench.traffic.TrafficProfile;
 import io.lagoonseam.bench.traffic.TrafficReport;
 import io.lagoonseam.core.audit.NoopEventSink;
 import io.lagoonseam.core.configuration.FileSet;
@@ -28,6 +29,7 @@
 public final class PolicyRunner {
 
     private static final long TIMEOUT_SECONDS = 60;
+    private static final long WARM_UP_MILLIS = 2_500;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final PolicyScenario scenario;
@@ -51,6 +53,7 @@
      * @throws TimeoutException if the traffic does not end
      */
     public List<PolicyResult> runAll() throws TimeoutException {
+        warmUp();
         List<PolicyResult> results = new ArrayList<>();
         for (ComparedPolicy policy : ComparedPolicy.all()) {
             results.add(run(policy));
@@ -58,6 +61,15 @@
         return results;
     }
 
+    /** Runs a short time without faults whose result is dropped, so that the first policy does not pay for loading. */
+    private void warmUp() throws TimeoutException {
+        TrafficProfile shortProfile =
+                new TrafficProfile(WARM_UP_MILLIS, scenario.profile().classes());
+        PolicyScenario calm = new PolicyScenario(
+                scenario.name(), scenario.shape(), shortProfile, FaultScript.NONE, 0, WARM_UP_MILLIS);
+        new PolicyRunner(calm, seed).run(ComparedPolicy.all().get(0));
+    }
+
     /**
      * Runs the scenario under one policy.
      *
