--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments in which engines or connections fail while traffic runs. */
+package io.lagoonseam.bench.experiment.fault;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -4,6 +4,9 @@
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.core.routing.AttemptResult;
+import io.lagoonseam.core.routing.PromptPrefix;
+import io.lagoonseam.core.routing.RoutingRequest;
 import io.lagoonseam.core.verdict.Refusal;
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
@@ -18,14 +21,17 @@
 abstract class AbstractRequestRunner implements QueuedRequest, CancellableRequest {
 
     private static final int BAD_GATEWAY = 502;
-    private static final long RETRY_AFTER_FAILURE_MILLIS = 1_000;
+    private static final int FIRST_PROGRESS_TOKENS = 16;
 
     private final Dispatcher dispatcher;
     private final Ticket ticket;
     private final Context context;
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
+    private final ServiceRecovery recovery;
     private Upstream worker;
+    private AttemptResult attemptResult = AttemptResult.NEUTRAL;
+    private int failures;
     private boolean sent;
     private boolean ended;
 
@@ -34,6 +40,17 @@
         this.ticket = ticket;
         this.context = context;
         this.sink = sink;
+        this.recovery = dispatcher.recovery(ticket.requestClass().service());
+    }
+
+    /** Returns the leading blocks of the prompt. */
+    PromptPrefix prefix() {
+        return PromptPrefix.EMPTY;
+    }
+
+    /** Returns the tokens that the caller has. */
+    int deliveredTokens() {
+        return 0;
     }
 
     /** Runs one attempt on the caller's context. */
@@ -48,8 +65,8 @@
     }
 
     @Override
-    public final Set<String> excludedWorkers() {
-        return excludedWorkers;
+    public final RoutingRequest routing() {
+        return new RoutingRequest(ticket.requestClass().tier(), prefix(), Set.copyOf(excludedWorkers));
     }
 
     final Dispatcher dispatcher() {
@@ -77,7 +94,11 @@
         service().submit(this);
     }
 
-    private ServiceDispatcher service() {
+    final ServiceRecovery recovery() {
+        return recovery;
+    }
+
+    final ServiceDispatcher service() {
         return dispatcher.service(ticket.requestClass().service());
     }
 
@@ -87,18 +108,27 @@
             if (ended) {
                 dispatcher.decide(() -> {
                     service().finished(ticket.id(), 0, false);
-                    service().release(chosen);
+                    service().release(chosen, AttemptResult.NEUTRAL);
                 });
                 return;
             }
             worker = chosen;
+            attemptResult = AttemptResult.NEUTRAL;
             attempt(chosen);
         });
     }
 
     @Override
     public final void refuse(Refusal refusal) {
-        context.runOnContext(nothing -> endWithRefusal(refusal));
+        context.runOnContext(nothing -> endWithRefusal(sent ? afterSending(refusal) : refusal));
+    }
+
+    private static Refusal afterSending(Refusal refusal) {
+        Refusal.Builder builder = Refusal.builder(refusal.event(), refusal.httpStatus())
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .message(refusal.message());
+        refusal.retryAfterMillis().ifPresent(builder::retryAfterMillis);
+        return builder.build();
     }
 
     @Override
@@ -113,6 +143,9 @@
             abandonAttempt(worker);
             releaseWorker();
         }
+        if (deliveredTokens() > 0) {
+            dispatcher.metrics().wasted("callerGone", deliveredTokens());
+        }
     }
 
     final void markSent() {
@@ -121,28 +154,65 @@
         sent = true;
     }
 
+    /** Corrects the expected length of the answer, ever more rarely as it grows. */
+    final void noteProgress(int tokens) {
+        if (tokens >= FIRST_PROGRESS_TOKENS && Integer.bitCount(tokens) == 1) {
+            dispatcher.decide(() -> service().progressed(ticket.id(), tokens));
+        }
+    }
+
     final void releaseWorker() {
         Upstream held = worker;
         worker = null;
+        AttemptResult result = attemptResult;
         if (held != null) {
-            dispatcher.decide(() -> service().release(held));
+            dispatcher.decide(() -> service().release(held, result));
         }
     }
 
+    /** Goes on with an attempt that was made beside the first one. */
+    final void replaceWorker(Upstream other) {
+        releaseWorker();
+        worker = other;
+        attemptResult = AttemptResult.NEUTRAL;
+    }
+
     /** Queues the request again, for another worker if there is one. */
     final void tryAnotherWorker() {
         excludedWorkers.add(worker.name());
         releaseWorker();
-        dispatcher.decide(this::submit);
+        long delayMillis = recovery.backoff().delayMillis(failures++);
+        context.owner().setTimer(Math.max(1, delayMillis), timer -> {
+            if (!ended) {
+                dispatcher.decide(() -> service().resubmit(this));
+            }
+        });
+    }
+
+    private static AttemptResult resultOf(AttemptFailure failure) {
+        return switch (failure.event()) {
+            case CONNECT_FAILED -> AttemptResult.UNREACHABLE;
+            case ANSWER_MISMATCHED -> AttemptResult.MISMATCHED;
+            case CONNECTION_BROKEN, UPSTREAM_ERROR -> AttemptResult.FAILED;
+            default -> AttemptResult.NEUTRAL;
+        };
+    }
+
+    final void noteFailure(AttemptFailure failure) {
+        attemptResult = resultOf(failure);
     }
 
     final boolean mayTryAgain(AttemptFailure failure) {
-        boolean safe = ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
-        if (!safe) {
-            return false;
-        }
-        boolean allowed =
-                dispatcher.retryBudget(ticket.requestClass().service()).tryAcquire();
+        noteFailure(failure);
+        return safeToRepeat(failure) && acquireExtraAttempt();
+    }
+
+    final boolean safeToRepeat(AttemptFailure failure) {
+        return ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
+    }
+
+    final boolean acquireExtraAttempt() {
+        boolean allowed = recovery.budget().tryAcquire();
         if (!allowed) {
             dispatcher.record(
                     EventCode.RETRY_BUDGET_SPENT, ticket.requestClass().service());
@@ -155,7 +225,7 @@
         return Refusal.builder(failure.event(), BAD_GATEWAY)
                 .verdict(verdict)
                 .message(failure.event().summary() + ": " + failure.message())
-                .retryAfterMillis(RETRY_AFTER_FAILURE_MILLIS)
+                .retryAfterMillis(service().retryAfterMillis())
                 .build();
     }
 
@@ -167,6 +237,9 @@
         dispatcher.invariants().check(Invariant.NOT_RUN_IS_TRUE, truthful, ticket.id());
         markEnded(0, false);
         releaseWorker();
+        if (deliveredTokens() > 0) {
+            dispatcher.metrics().wasted("refused", deliveredTokens());
+        }
         dispatcher.metrics().refused(ticket, refusal);
         sink.refused(refusal);
     }
@@ -174,7 +247,9 @@
     final void endWithAnswer(long firstTokenMillis, int tokens) {
         String workerName = worker == null ? BoundedNames.OTHER : worker.name();
         markEnded(tokens, true);
+        attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
+        recovery.budget().recordSuccess();
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
                 .metrics()
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -7,93 +7,81 @@
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.lock.LockRank;
 import io.lagoonseam.core.lock.RankedLock;
-import io.lagoonseam.core.routing.WorkerSelector;
-import io.lagoonseam.core.routing.WorkerState;
+import io.lagoonseam.core.retry.RetryAfterEstimate;
+import io.lagoonseam.core.routing.AttemptResult;
+import io.lagoonseam.core.routing.CacheEvent;
+import io.lagoonseam.core.routing.RoutingRequest;
+import io.lagoonseam.core.routing.WorkerTable;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.core.verdict.Refusal;
+import io.lagoonseam.entry.upstream.LoadReport;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /** The queue and the workers of one service, under one lock. */
 final class ServiceDispatcher {
 
+    private static final long INITIAL_RETRY_AFTER_MILLIS = 1_000;
+
     private final RankedLock lock = new RankedLock(LockRank.SERVICE);
     private final ServiceQueue queue;
-    private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
-    private final WorkerSelector selector;
+    private final WorkerTable workers;
+    private final RetryAfterEstimate retryAfter;
     private final TimeSource time;
     private final InvariantMonitor invariants;
+    private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
     ServiceDispatcher(
             AdmissionController admission,
-            WorkerSelector selector,
+            WorkerTable workers,
             TimeSource time,
             InvariantMonitor invariants,
             RouterMetrics metrics) {
         this.queue = new ServiceQueue(admission, invariants, metrics);
-        this.selector = selector;
+        this.workers = workers;
+        this.retryAfter = new RetryAfterEstimate(time);
         this.time = time;
         this.invariants = invariants;
     }
 
-    private static final class WorkerEntry {
-        private Upstream upstream;
-        private int inFlight;
-        private double reportedWaiting;
-        private long reportedAtMillis;
-        private boolean leaving;
-        private boolean configured = true;
-
-        private WorkerEntry(Upstream upstream) {
-            this.upstream = upstream;
-        }
-
-        private WorkerState state(long nowMillis) {
-            return new WorkerState(
-                    upstream.name(), inFlight, upstream.concurrency(), reportedWaiting, nowMillis - reportedAtMillis);
-        }
-    }
-
     private record Assignment(QueuedRequest request, Upstream worker) {}
 
     void configure(Collection<Upstream> upstreams) {
-        lock.run(() -> {
-            workers.values().forEach(worker -> worker.configured = false);
-            for (Upstream upstream : upstreams) {
-                WorkerEntry worker = workers.computeIfAbsent(upstream.name(), name -> new WorkerEntry(upstream));
-                worker.upstream = upstream;
-                worker.configured = true;
-            }
-            workers.values().removeIf(worker -> !worker.configured && worker.inFlight == 0);
-        });
+        lock.run(() -> workers.configure(upstreams));
         pump();
     }
 
     void markLeaving(Set<String> names) {
-        lock.run(() -> workers.values().forEach(worker -> worker.leaving = names.contains(worker.upstream.name())));
+        lock.run(() -> workers.markLeaving(names));
         pump();
     }
 
-    void report(String workerName, int waitingCount) {
-        lock.run(() -> {
-            WorkerEntry worker = workers.get(workerName);
-            if (worker != null) {
-                worker.reportedWaiting = waitingCount;
-                worker.reportedAtMillis = time.monotonicMillis();
-            }
-        });
+    void report(String workerName, LoadReport report) {
+        lock.run(() -> workers.report(workerName, report.running(), report.waiting()));
+    }
+
+    void cacheEvents(String workerName, List<CacheEvent> events) {
+        lock.run(() -> events.forEach(event -> workers.cacheEvent(workerName, event)));
+    }
+
+    long lastCacheEvent(String workerName) {
+        return lock.call(() -> workers.lastCacheEvent(workerName));
+    }
+
+    void observePace(String workerName, double gapMillis) {
+        lock.run(() -> workers.observePace(workerName, gapMillis));
     }
 
     List<Upstream> upstreams() {
-        return lock.call(() -> workers.values().stream()
-                .filter(worker -> worker.configured)
-                .map(worker -> worker.upstream)
-                .toList());
+        return lock.call(workers::upstreams);
+    }
+
+    /** Returns when a refused caller should come back, from the measured pace of answers. */
+    long retryAfterMillis() {
+        return retryAfterMillis;
     }
 
     void submit(QueuedRequest request) {
@@ -117,14 +105,34 @@
         return lock.call(() -> queue.cancel(id));
     }
 
-    void release(Upstream upstream) {
+    /** Goes on with a request that was admitted before: at once if a worker has room, otherwise through the queue. */
+    void resubmit(QueuedRequest request) {
+        Optional<Upstream> worker = acquire(request.routing());
+        if (worker.isPresent()) {
+            request.start(worker.get());
+        } else {
+            submit(request);
+        }
+    }
+
+    /** Holds a worker for an attempt outside the queue. */
+    Optional<Upstream> acquire(RoutingRequest request) {
+        return lock.call(() -> workers.hasRoom() ? take(request) : Optional.empty());
+    }
+
+    private Optional<Upstream> take(RoutingRequest request) {
+        Optional<Upstream> worker = workers.acquire(request);
+        worker.ifPresent(chosen ->
+                invariants.check(Invariant.LEAVING_GETS_NO_WORK, !workers.isLeaving(chosen.name()), chosen.name()));
+        return worker;
+    }
+
+    void release(Upstream upstream, AttemptResult result) {
         lock.run(() -> {
-            WorkerEntry worker = workers.get(upstream.name());
-            if (worker != null) {
-                worker.inFlight--;
-                if (!worker.configured && worker.inFlight == 0) {
-                    workers.remove(upstream.name());
-                }
+            workers.observeResult(upstream.name(), result);
+            workers.release(upstream.name());
+            if (result == AttemptResult.SUCCEEDED) {
+                retryAfter.answered();
             }
         });
         pump();
@@ -142,48 +150,23 @@
             long nowMillis = time.monotonicMillis();
             expired.addAll(queue.expire(nowMillis));
             assign(nowMillis, assignments);
+            retryAfterMillis = retryAfter.retryAfterMillis(queue.size());
         });
         expired.forEach(ServiceQueue.Shed::answer);
         assignments.forEach(assignment -> assignment.request().start(assignment.worker()));
     }
 
     private void assign(long nowMillis, List<Assignment> assignments) {
-        while (hasRoom()) {
+        while (workers.hasRoom()) {
             Optional<ServiceQueue.Next> next = queue.poll(nowMillis);
             if (next.isEmpty()) {
                 return;
             }
             QueuedRequest request = next.get().request();
-            WorkerEntry worker = choose(request, nowMillis);
-            worker.inFlight++;
-            invariants.check(Invariant.LEAVING_GETS_NO_WORK, !worker.leaving, worker.upstream.name());
-            queue.started(next.get(), worker.upstream.name());
-            assignments.add(new Assignment(request, worker.upstream));
-        }
-    }
-
-    private boolean hasRoom() {
-        return workers.values().stream().anyMatch(ServiceDispatcher::open);
-    }
-
-    private static boolean open(WorkerEntry worker) {
-        return worker.configured && !worker.leaving && worker.inFlight < worker.upstream.concurrency();
-    }
-
-    private WorkerEntry choose(QueuedRequest request, long nowMillis) {
-        List<WorkerState> open = new ArrayList<>();
-        List<WorkerState> untried = new ArrayList<>();
-        for (WorkerEntry worker : workers.values()) {
-            if (open(worker)) {
-                WorkerState state = worker.state(nowMillis);
-                open.add(state);
-                if (!request.excludedWorkers().contains(worker.upstream.name())) {
-                    untried.add(state);
-                }
-            }
+            Upstream worker = take(request.routing()).orElseThrow();
+            queue.started(next.get(), worker.name());
+            assignments.add(new Assignment(request, worker));
         }
-        WorkerState chosen = selector.select(untried.isEmpty() ? open : untried).orElseThrow();
-        return workers.get(chosen.name());
     }
 
     /** Refuses every waiting request, for a service that was removed. */
