Limits over all nodes of a data centre, decision-cost, random runs of admission

Cause: limits were not enforced; random runs against an oracle found that urgent requests at 1.8 times the capacity kept every lower class out of the queue, and that a home node that is cut off took the whole limit for itself while the others fell back to equal parts. Change: each class has one place of its own beyond the shared bound; a home keeps an equal part reserved for a live node that stopped asking without giving its share back. Home nodes by rendezvous hash lease shares; JMH measures one admission and one routing decision.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.experiment.decision.DecisionCostExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 
     private static final List<Experiment> ALL = List.of(
             new BurstExperiment(),
+            new DecisionCostExperiment(),
             FaultExperiment.straggler(),
             FaultExperiment.crash(),
             FaultExperiment.silent(),
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/decision/package-info.java
@@ -0,0 +1,2 @@
+/** What one admission and one routing decision cost. */
+package io.lagoonseam.bench.experiment.decision;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/admission/AdmissionController.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/admission/AdmissionController.java
@@ -46,7 +46,7 @@
     int size();
 
     /**
-     * Returns whether a request of a tier below urgent waits.
+     * Returns whether a request of a tier below urgent holds a place that urgent requests may take.
      *
      * @return true if one could give its place to an urgent request
      */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/admission/DefaultAdmissionController.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/admission/DefaultAdmissionController.java
@@ -18,35 +18,36 @@
  * Bounded queues for each class, served by {@link ClassSchedule}: urgent first, then shares by weight, with a reserved
  * share of starts for classes that were not served for long. Within a class each workspace gets the same share. A
  * request that cannot begin in time is refused when it arrives. An urgent request takes the place of the newest request
- * of the lowest tier when its queue or the whole is full.
+ * of the lowest tier when its queue or the whole is full. Each class has one place of its own beyond the shared bound,
+ * so that no number of urgent requests keeps it out.
  */
 public final class DefaultAdmissionController implements AdmissionController {
 
     private static final int UNAVAILABLE = 503;
     private static final int TIMED_OUT = 504;
     private static final long RETRY_AFTER_MIN_MILLIS = 1_000;
-    private static final int DEFAULT_TOTAL_CAPACITY = 20_000;
+    private static final int DEFAULT_SHARED_CAPACITY = 20_000;
 
     private final Map<String, ClassQueue> queues = new LinkedHashMap<>();
     private final Map<String, QueueEntry> entries = new HashMap<>();
     private final ClassSchedule schedule = new ClassSchedule();
     private final AnswerLengthEstimator lengths = new AnswerLengthEstimator();
     private final ServicePace pace = new ServicePace(lengths);
-    private final int totalCapacity;
+    private final int sharedCapacity;
     private long nextNumber = 1;
 
     /** Creates empty queues with the usual bound over all classes. */
     public DefaultAdmissionController() {
-        this(DEFAULT_TOTAL_CAPACITY);
+        this(DEFAULT_SHARED_CAPACITY);
     }
 
     /**
      * Creates empty queues.
      *
-     * @param totalCapacity the most requests that wait over all classes
+     * @param sharedCapacity the most requests that wait over all classes, beyond one of each
      */
-    public DefaultAdmissionController(int totalCapacity) {
-        this.totalCapacity = totalCapacity;
+    public DefaultAdmissionController(int sharedCapacity) {
+        this.sharedCapacity = sharedCapacity;
     }
 
     @Override
@@ -63,7 +64,7 @@
             return new OfferResult.Refused(tooLate.get());
         }
         boolean classFull = queue.size() >= ticket.serviceLevel().queueCapacity();
-        if (!classFull && entries.size() < totalCapacity) {
+        if (!classFull && (queue.isEmpty() || sharedPlacesTaken() < sharedCapacity)) {
             add(queue, ticket);
             return new OfferResult.Queued();
         }
@@ -75,6 +76,13 @@
         return new OfferResult.Queued(displaced);
     }
 
+    /** The places taken beyond the one that each class has of its own. */
+    private long sharedPlacesTaken() {
+        long ownPlaces =
+                queues.values().stream().filter(queue -> !queue.isEmpty()).count();
+        return entries.size() - ownPlaces;
+    }
+
     private void add(ClassQueue queue, Ticket ticket) {
         double cost = lengths.expectedTokens(ticket.requestClass().name(), ticket.workspace(), 0);
         long number = nextNumber++;
@@ -153,7 +161,8 @@
         QueueEntry chosen = null;
         Tier chosenTier = above;
         for (ClassQueue queue : queues.values()) {
-            if (queue.tier().compareTo(chosenTier) < 0 || queue.tier() == above) {
+            boolean ownPlaceOnly = queue.size() <= 1;
+            if (ownPlaceOnly || queue.tier() == above || queue.tier().compareTo(chosenTier) < 0) {
                 continue;
             }
             Optional<QueueEntry> newest = queue.newest();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.membership.Member;
@@ -20,6 +21,7 @@
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
 import io.lagoonseam.entry.dispatch.ServicePolicies;
+import io.lagoonseam.entry.limits.LimitLayer;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
 import io.lagoonseam.entry.platform.PlatformClient;
@@ -67,6 +69,7 @@
     private final ExecutorService decisions;
     private final PeerLayer peers;
     private final Dispatcher dispatcher;
+    private final LimitLayer limits;
     private final ConfigurationFollower follower;
     private final List<Long> timers = new ArrayList<>();
     private volatile State state = State.SERVING;
@@ -114,7 +117,14 @@
                 policies,
                 settings.seed()));
         this.dispatcher.identify(settings.nodeId());
-        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, dispatcher::configure);
+        this.limits = new LimitLayer(peers.members(), peers.transport(), decisions, time, events);
+        this.dispatcher.limitBy(limits.limiter());
+        this.follower = new ConfigurationFollower(followerEnvironment(), configuration, this::configure);
+    }
+
+    private void configure(FileSet fileSet) {
+        limits.configure(fileSet);
+        dispatcher.configure(fileSet);
     }
 
     private FollowerEnvironment followerEnvironment() {
@@ -171,6 +181,7 @@
 
     private void started() {
         follower.start();
+        timers.add(limits.start(vertx));
         timers.add(vertx.setPeriodic(TICK_MILLIS, timer -> dispatcher.tick()));
         timers.add(vertx.setPeriodic(LOAD_POLL_MILLIS, timer -> dispatcher.pollLoad()));
         timers.add(vertx.setPeriodic(VM_POLL_MILLIS, timer -> pollVms()));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -11,8 +11,10 @@
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
 import io.vertx.core.Context;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * The way of one request: queued, run on a worker, perhaps tried again, and ended exactly once. State changes happen on
@@ -23,12 +25,20 @@
     private static final int BAD_GATEWAY = 502;
     private static final int FIRST_PROGRESS_TOKENS = 16;
 
+    /** Whether the request counts against the limits of its workspace. */
+    private enum LimitPlace {
+        NOT_HELD,
+        HELD,
+        GIVEN_BACK
+    }
+
     private final Dispatcher dispatcher;
     private final Ticket ticket;
     private final Context context;
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
     private final ServiceRecovery recovery;
+    private final AtomicReference<LimitPlace> limitPlace = new AtomicReference<>(LimitPlace.NOT_HELD);
     private Upstream worker;
     private AttemptResult attemptResult = AttemptResult.NEUTRAL;
     private int failures;
@@ -91,6 +101,16 @@
     }
 
     final void submit() {
+        long nowMillis = dispatcher.time().monotonicMillis();
+        Optional<Refusal> overLimit = dispatcher.limiter().tryAcquire(ticket.workspace(), nowMillis);
+        if (overLimit.isPresent()) {
+            refuse(overLimit.get());
+            return;
+        }
+        if (!limitPlace.compareAndSet(LimitPlace.NOT_HELD, LimitPlace.HELD)) {
+            dispatcher.limiter().release(ticket.workspace(), 0, nowMillis);
+            return;
+        }
         service().submit(this);
     }
 
@@ -265,7 +285,14 @@
 
     private void markEnded(int tokens, boolean whole) {
         ended = true;
-        dispatcher.decide(() -> service().finished(ticket.id(), tokens, whole));
+        int generated = Math.max(tokens, deliveredTokens());
+        dispatcher.decide(() -> {
+            service().finished(ticket.id(), tokens, whole);
+            if (limitPlace.getAndSet(LimitPlace.GIVEN_BACK) == LimitPlace.HELD) {
+                long nowMillis = dispatcher.time().monotonicMillis();
+                dispatcher.limiter().release(ticket.workspace(), generated, nowMillis);
+            }
+        });
         dispatcher.finished();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -7,6 +7,8 @@
 import io.lagoonseam.core.configuration.ServiceKind;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.InvariantMonitor;
+import io.lagoonseam.core.limits.NoopWorkspaceLimiter;
+import io.lagoonseam.core.limits.WorkspaceLimiter;
 import io.lagoonseam.core.operation.OperationJournal;
 import io.lagoonseam.core.routing.Rendezvous;
 import io.lagoonseam.core.routing.WorkerTable;
@@ -38,6 +40,7 @@
     private final ServicePolicies policies;
     private final Random random;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile WorkspaceLimiter limiter = new NoopWorkspaceLimiter();
     private volatile Set<String> modelServices = Set.of();
     private volatile String subsetOwner;
 
@@ -68,6 +71,19 @@
         subsetOwner = nodeId;
     }
 
+    /**
+     * Keeps workspaces within limits.
+     *
+     * @param newLimiter what each new request must pass
+     */
+    public void limitBy(WorkspaceLimiter newLimiter) {
+        limiter = newLimiter;
+    }
+
+    WorkspaceLimiter limiter() {
+        return limiter;
+    }
+
     /**
      * Puts the services and upstreams of a file set in force.
      *
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/limits/package-info.java
@@ -0,0 +1,2 @@
+/** The limits of workspaces within the daemon. */
+package io.lagoonseam.entry.limits;
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -20,5 +20,8 @@
     /** Reports the generation in force to a relay: {@link ConfigurationMessages.Report}, answered by its view. */
     public static final int CONFIGURATION_REPORT = 33;
 
+    /** Demands on the limits of workspaces, answered by shares. */
+    public static final int LIMIT_SHARES = 40;
+
     private MessageTypes() {}
 }
