--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/retry/RetryBudget.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/retry/RetryBudget.java
@@ -14,6 +14,7 @@
     private static final double DECAY_MILLIS = 10_000;
     private static final double RESERVE_ATTEMPTS = 3;
     private static final double FIRST_ATTEMPT_SHARE = 0.02;
+    private static final double HEDGE_PART = 0.4;
 
     private final RankedLock lock = new RankedLock(LockRank.RETRY);
     private final TimeSource time;
@@ -64,14 +65,28 @@
     }
 
     /**
-     * Takes one extra attempt from the budget.
+     * Takes one extra attempt from the budget, for a request that would otherwise fail.
      *
      * @return whether the attempt is allowed
      */
     public boolean tryAcquire() {
+        return tryAcquire(1);
+    }
+
+    /**
+     * Takes one extra attempt for a request that may yet succeed, which leaves a part of the budget to those that would
+     * fail.
+     *
+     * @return whether the attempt is allowed
+     */
+    public boolean tryAcquireHedge() {
+        return tryAcquire(HEDGE_PART);
+    }
+
+    private boolean tryAcquire(double part) {
         return lock.call(() -> {
             decay();
-            if (recentExtraAttempts + 1 > allowance()) {
+            if (recentExtraAttempts + 1 > part * allowance()) {
                 return false;
             }
             recentExtraAttempts++;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
@@ -87,7 +87,10 @@
     }
 
     private void startHedge() {
-        if (ended() || hedged || progress.tokens() > 0 || !acquireExtraAttempt()) {
+        if (ended() || hedged || progress.tokens() > 0) {
+            return;
+        }
+        if (!recovery().budget().tryAcquireHedge()) {
             return;
         }
         hedged = true;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceRecovery.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceRecovery.java
@@ -10,7 +10,7 @@
 /** What decides about further attempts of one service's requests. */
 final class ServiceRecovery {
 
-    private static final double EXTRA_ATTEMPT_SHARE = 0.1;
+    private static final double EXTRA_ATTEMPT_SHARE = 0.15;
     private static final long BACKOFF_BASE_MILLIS = 20;
     private static final long BACKOFF_CAP_MILLIS = 500;
 
