--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
@@ -66,7 +66,7 @@
         TrafficProfile shortProfile =
                 new TrafficProfile(WARM_UP_MILLIS, scenario.profile().classes());
         PolicyScenario calm = new PolicyScenario(
-                scenario.name(), scenario.shape(), shortProfile, FaultScript.NONE, 0, WARM_UP_MILLIS);
+                scenario.name(), scenario.shape(), shortProfile, FaultScript.NONE, 1, WARM_UP_MILLIS);
         new PolicyRunner(calm, seed).run(ComparedPolicy.all().get(0));
     }
 
