experiment routing: ways of routing over many nodes on a virtual clock

Cause: each node sees only its own part of the load. Change: a model on a virtual clock that decides by the product's own selectors, at 6 x 6 and 60 x 200 with 85 % load.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
+import io.lagoonseam.bench.experiment.routing.RoutingExperiment;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,6 +16,7 @@
             FaultExperiment.crash(),
             FaultExperiment.silent(),
             FaultExperiment.crossed(),
+            new RoutingExperiment(),
             new RouterCostExperiment());
 
     private Experiments() {}
