--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -3,7 +3,9 @@
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
+import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.experiment.routing.RoutingExperiment;
+import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
 
@@ -17,6 +19,8 @@
             FaultExperiment.silent(),
             FaultExperiment.crossed(),
             new RoutingExperiment(),
+            new LeaseExperiment(),
+            new PropagationExperiment(),
             new RouterCostExperiment());
 
     private Experiments() {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -7,10 +7,12 @@
 import io.lagoonseam.core.routing.AttemptResult;
 import io.lagoonseam.core.routing.PromptPrefix;
 import io.lagoonseam.core.routing.RoutingRequest;
+import io.lagoonseam.core.routing.WorkerState;
 import io.lagoonseam.core.verdict.Refusal;
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
 import io.vertx.core.Context;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -21,6 +23,7 @@
 abstract class AbstractRequestRunner implements QueuedRequest, CancellableRequest {
 
     private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
 
     private final Dispatcher dispatcher;
     private final Ticket ticket;
@@ -28,6 +31,7 @@
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
     private final ServiceRecovery recovery;
+    private final RequestExplainer explainer;
     private Upstream worker;
     private AttemptResult attemptResult = AttemptResult.NEUTRAL;
     private int failures;
@@ -40,6 +44,9 @@
         this.context = context;
         this.sink = sink;
         this.recovery = dispatcher.recovery(ticket.requestClass().service());
+        this.explainer = new RequestExplainer(dispatcher.trail(), ticket, dispatcher.time());
+        explainer.classified();
+        dispatcher.started(this);
     }
 
     /** Returns the leading blocks of the prompt. */
@@ -68,6 +75,11 @@
         return new RoutingRequest(ticket.requestClass().tier(), prefix(), Set.copyOf(excludedWorkers));
     }
 
+    @Override
+    public final void weighed(List<WorkerState> workers, String chosen) {
+        explainer.weighed(workers, chosen);
+    }
+
     final Dispatcher dispatcher() {
         return dispatcher;
     }
@@ -109,6 +121,8 @@
             }
             worker = chosen;
             attemptResult = AttemptResult.NEUTRAL;
+            explainer.attempt(chosen.name());
+            dispatcher.newWork().sending(chosen.name());
             attempt(chosen);
         });
     }
@@ -133,6 +147,7 @@
         }
         markEnded();
         dispatcher.record(EventCode.CALLER_GONE, ticket.id());
+        explainer.callerGone();
         dispatcher.decide(() -> service().cancel(ticket.id()));
         if (worker != null) {
             abandonAttempt(worker);
@@ -143,6 +158,24 @@
         }
     }
 
+    /** Ends the request because the node stops now; what was sent may have run. */
+    final void cutOff() {
+        context.runOnContext(nothing -> {
+            Upstream held = worker;
+            if (ended) {
+                return;
+            }
+            dispatcher.decide(() -> service().cancel(ticket.id()));
+            endWithRefusal(Refusal.builder(EventCode.STOP_DEADLINE_PASSED, UNAVAILABLE)
+                    .verdict(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN)
+                    .retryAfterMillis(service().retryAfterMillis())
+                    .build());
+            if (held != null) {
+                abandonAttempt(held);
+            }
+        });
+    }
+
     final void markSent() {
         boolean repeated = sent && !ticket.requestClass().idempotent();
         dispatcher.invariants().check(Invariant.AT_MOST_ONCE, !repeated, ticket.id());
@@ -187,6 +220,7 @@
     }
 
     final void noteFailure(AttemptFailure failure) {
+        explainer.failed(failure);
         attemptResult = resultOf(failure);
     }
 
@@ -229,6 +263,7 @@
             dispatcher.metrics().wasted("refused", deliveredTokens());
         }
         dispatcher.metrics().refused(ticket, refusal);
+        explainer.refused(refusal);
         sink.refused(refusal);
     }
 
@@ -238,6 +273,7 @@
         attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
         recovery.budget().recordSuccess();
+        explainer.answered(tokens);
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
                 .metrics()
@@ -253,6 +289,7 @@
 
     private void markEnded() {
         ended = true;
+        dispatcher.ended(this);
         dispatcher.finished();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
@@ -99,7 +99,7 @@
                 prefix,
                 Set.of(primary.upstream().name()));
         dispatcher().decide(() -> {
-            Optional<Upstream> other = service().acquire(routing);
+            Optional<Upstream> other = service().acquire(routing, this::weighed);
             other.ifPresent(worker -> context().runOnContext(nothing -> runHedge(worker)));
         });
     }
@@ -111,6 +111,7 @@
             return;
         }
         dispatcher().metrics().extraAttempt("hedge");
+        dispatcher().newWork().sending(worker.name());
         hedge = newAttempt(worker);
         hedge.generate(limits(), 0);
     }
