--- a/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
+++ b/lagoonseam-cli/src/test/java/io/lagoonseam/cli/CommandLineProgramTest.java
@@ -29,13 +29,18 @@
             {"entry"},
             {"config validate"},
             {"config apply"},
+            {"config diff"},
             {"config show"},
+            {"config history"},
+            {"config watch"},
             {"config hash-key"},
+            {"config schema"},
             {"standin"},
             {"load"},
             {"experiment"},
             {"demo"},
-            {"status"}
+            {"status"},
+            {"explain"}
         };
     }
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerTable.java
@@ -55,6 +55,19 @@
         }
     }
 
+    /** Hears which workers were weighed for a request. */
+    @FunctionalInterface
+    public interface WeighingListener {
+
+        /**
+         * Hears of a choice.
+         *
+         * @param candidates the workers that could take the request
+         * @param chosen the name of the chosen one
+         */
+        void weighed(List<WorkerState> candidates, String chosen);
+    }
+
     /**
      * Creates an empty table.
      *
@@ -202,10 +215,21 @@
      * @return the worker, or empty if none has room
      */
     public Optional<Upstream> acquire(RoutingRequest request) {
+        return acquire(request, (candidates, chosen) -> {});
+    }
+
+    /**
+     * Chooses a worker, tells what was weighed, and counts the request there.
+     *
+     * @param request the request
+     * @param listener hears of the choice
+     * @return the worker, or empty if none has room
+     */
+    public Optional<Upstream> acquire(RoutingRequest request, WeighingListener listener) {
         refresh();
-        Optional<Entry> chosen = adaptive ? probe(request) : Optional.empty();
+        Optional<Entry> chosen = adaptive ? probe(request, listener) : Optional.empty();
         if (chosen.isEmpty()) {
-            chosen = choose(request);
+            chosen = choose(request, listener);
         }
         chosen.ifPresent(worker -> {
             worker.inFlight++;
@@ -214,7 +238,7 @@
         return chosen.map(worker -> worker.upstream);
     }
 
-    private Optional<Entry> probe(RoutingRequest request) {
+    private Optional<Entry> probe(RoutingRequest request, WeighingListener listener) {
         long nowMillis = time.monotonicMillis();
         boolean urgent = request.tier() == Tier.URGENT;
         for (Entry worker : workers.values()) {
@@ -225,13 +249,14 @@
                     && worker.inFlight == 0
                     && worker.health.probeDue(urgent, nowMillis)) {
                 worker.health.probed(nowMillis);
+                listener.weighed(List.of(state(worker, nowMillis)), worker.upstream.name());
                 return Optional.of(worker);
             }
         }
         return Optional.empty();
     }
 
-    private Optional<Entry> choose(RoutingRequest request) {
+    private Optional<Entry> choose(RoutingRequest request, WeighingListener listener) {
         List<WorkerState> open = new ArrayList<>(workers.size());
         List<WorkerState> untried = new ArrayList<>(workers.size());
         long nowMillis = time.monotonicMillis();
@@ -244,7 +269,10 @@
                 }
             }
         }
-        return selector.select(request, untried.isEmpty() ? open : untried).map(state -> workers.get(state.name()));
+        List<WorkerState> candidates = untried.isEmpty() ? open : untried;
+        Optional<WorkerState> chosen = selector.select(request, candidates);
+        chosen.ifPresent(state -> listener.weighed(candidates, state.name()));
+        return chosen.map(state -> workers.get(state.name()));
     }
 
     private WorkerState state(Entry worker, long nowMillis) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -7,10 +7,12 @@
 import io.lagoonseam.core.routing.AttemptResult;
 import io.lagoonseam.core.routing.PromptPrefix;
 import io.lagoonseam.core.routing.RoutingRequest;
+import io.lagoonseam.core.routing.WorkerState;
 import io.lagoonseam.core.verdict.Refusal;
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
 import io.vertx.core.Context;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,6 +34,8 @@
         GIVEN_BACK
     }
 
+    private static final int UNAVAILABLE = 503;
+
     private final Dispatcher dispatcher;
     private final Ticket ticket;
     private final Context context;
@@ -39,6 +43,7 @@
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
     private final ServiceRecovery recovery;
     private final AtomicReference<LimitPlace> limitPlace = new AtomicReference<>(LimitPlace.NOT_HELD);
+    private final RequestExplainer explainer;
     private Upstream worker;
     private AttemptResult attemptResult = AttemptResult.NEUTRAL;
     private int failures;
@@ -51,6 +56,9 @@
         this.context = context;
         this.sink = sink;
         this.recovery = dispatcher.recovery(ticket.requestClass().service());
+        this.explainer = new RequestExplainer(dispatcher.trail(), ticket, dispatcher.time());
+        explainer.classified();
+        dispatcher.started(this);
     }
 
     /** Returns the leading blocks of the prompt. */
@@ -79,6 +87,11 @@
         return new RoutingRequest(ticket.requestClass().tier(), prefix(), Set.copyOf(excludedWorkers));
     }
 
+    @Override
+    public final void weighed(List<WorkerState> workers, String chosen) {
+        explainer.weighed(workers, chosen);
+    }
+
     final Dispatcher dispatcher() {
         return dispatcher;
     }
@@ -134,6 +147,8 @@
             }
             worker = chosen;
             attemptResult = AttemptResult.NEUTRAL;
+            explainer.attempt(chosen.name());
+            dispatcher.newWork().sending(chosen.name());
             attempt(chosen);
         });
     }
@@ -158,6 +173,7 @@
         }
         markEnded(0, false);
         dispatcher.record(EventCode.CALLER_GONE, ticket.id());
+        explainer.callerGone();
         dispatcher.decide(() -> service().cancel(ticket.id()));
         if (worker != null) {
             abandonAttempt(worker);
@@ -168,6 +184,24 @@
         }
     }
 
+    /** Ends the request because the node stops now; what was sent may have run. */
+    final void cutOff() {
+        context.runOnContext(nothing -> {
+            Upstream held = worker;
+            if (ended) {
+                return;
+            }
+            dispatcher.decide(() -> service().cancel(ticket.id()));
+            endWithRefusal(Refusal.builder(EventCode.STOP_DEADLINE_PASSED, UNAVAILABLE)
+                    .verdict(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN)
+                    .retryAfterMillis(service().retryAfterMillis())
+                    .build());
+            if (held != null) {
+                abandonAttempt(held);
+            }
+        });
+    }
+
     final void markSent() {
         boolean repeated = sent && !ticket.requestClass().idempotent();
         dispatcher.invariants().check(Invariant.AT_MOST_ONCE, !repeated, ticket.id());
@@ -219,6 +253,7 @@
     }
 
     final void noteFailure(AttemptFailure failure) {
+        explainer.failed(failure);
         attemptResult = resultOf(failure);
     }
 
@@ -261,6 +296,7 @@
             dispatcher.metrics().wasted("refused", deliveredTokens());
         }
         dispatcher.metrics().refused(ticket, refusal);
+        explainer.refused(refusal);
         sink.refused(refusal);
     }
 
@@ -270,6 +306,7 @@
         attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
         recovery.budget().recordSuccess();
+        explainer.answered(tokens);
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
                 .metrics()
@@ -293,6 +330,7 @@
                 dispatcher.limiter().release(ticket.workspace(), generated, nowMillis);
             }
         });
+        dispatcher.ended(this);
         dispatcher.finished();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.audit.RequestTrail;
 import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.configuration.Service;
 import io.lagoonseam.core.configuration.ServiceKind;
@@ -14,6 +15,7 @@
 import io.lagoonseam.core.routing.WorkerTable;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.upstream.UpstreamClient;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -21,6 +23,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
 /** Runs the decisions about all services on the decision threads. */
@@ -39,10 +42,14 @@
     private final EventSink events;
     private final ServicePolicies policies;
     private final Random random;
+    private final RequestTrail trail = new RequestTrail();
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile WorkspaceLimiter limiter = new NoopWorkspaceLimiter();
     private volatile Set<String> modelServices = Set.of();
     private volatile String subsetOwner;
+    private final Set<AbstractRequestRunner> running = ConcurrentHashMap.newKeySet();
+    private final NewWorkCheck newWork;
+    private volatile BiConsumer<String, Boolean> connections = (name, accepts) -> {};
 
     /**
      * Creates a dispatcher without services.
@@ -56,6 +63,7 @@
         this.journal = environment.journal();
         this.metrics = environment.metrics();
         this.invariants = environment.invariants();
+        this.newWork = new NewWorkCheck(time, invariants);
         this.events = environment.events();
         this.policies = environment.policies();
         this.random = new Random(environment.seed());
@@ -120,6 +128,7 @@
      * @param names all names that the VM list shows as leaving
      */
     public void markLeaving(Set<String> names) {
+        newWork.leaving(names);
         decisions.execute(() -> services.values().forEach(service -> service.markLeaving(names)));
     }
 
@@ -133,7 +142,10 @@
         services.forEach((name, service) -> {
             boolean cached = modelServices.contains(name);
             for (Upstream upstream : service.upstreams()) {
-                upstreams.readLoad(upstream).onSuccess(report -> decide(() -> service.report(upstream.name(), report)));
+                upstreams
+                        .readLoad(upstream)
+                        .onSuccess(report -> decide(() -> service.report(upstream.name(), report)))
+                        .onComplete(result -> noteConnection(upstream.name(), result.cause()));
                 if (cached) {
                     pollCache(service, upstream);
                 }
@@ -178,6 +190,38 @@
         recovery(service).budget().recordFirstAttempt();
     }
 
+    /**
+     * Sets what hears whether upstreams accept connections.
+     *
+     * @param listener the upstream's name and whether a connection was made
+     */
+    public void onConnection(BiConsumer<String, Boolean> listener) {
+        connections = listener;
+    }
+
+    private void noteConnection(String upstreamName, Throwable failure) {
+        if (failure == null || failure instanceof ConnectException) {
+            decide(() -> connections.accept(upstreamName, failure == null));
+        }
+    }
+
+    /** Ends every request with a final answer that says what may have run, for a stop that has passed its deadline. */
+    public void cutOff() {
+        running.forEach(AbstractRequestRunner::cutOff);
+    }
+
+    void started(AbstractRequestRunner runner) {
+        running.add(runner);
+    }
+
+    void ended(AbstractRequestRunner runner) {
+        running.remove(runner);
+    }
+
+    NewWorkCheck newWork() {
+        return newWork;
+    }
+
     void finished() {
         inFlight.decrementAndGet();
     }
@@ -191,6 +235,15 @@
         return inFlight.get();
     }
 
+    /**
+     * Returns what was decided about the latest requests.
+     *
+     * @return the trail
+     */
+    public RequestTrail trail() {
+        return trail;
+    }
+
     ServiceDispatcher service(String name) {
         return services.computeIfAbsent(name, unknown -> newService());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
@@ -87,7 +87,10 @@
     }
 
     private void startHedge() {
-        if (ended() || hedged || progress.tokens() > 0 || !acquireExtraAttempt()) {
+        if (ended() || hedged || progress.tokens() > 0) {
+            return;
+        }
+        if (!recovery().budget().tryAcquireHedge()) {
             return;
         }
         hedged = true;
@@ -96,7 +99,7 @@
                 prefix,
                 Set.of(primary.upstream().name()));
         dispatcher().decide(() -> {
-            Optional<Upstream> other = service().acquire(routing);
+            Optional<Upstream> other = service().acquire(routing, this::weighed);
             other.ifPresent(worker -> context().runOnContext(nothing -> runHedge(worker)));
         });
     }
@@ -108,6 +111,7 @@
             return;
         }
         dispatcher().metrics().extraAttempt("hedge");
+        dispatcher().newWork().sending(worker.name());
         hedge = newAttempt(worker);
         hedge.generate(limits(), 0);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -107,7 +107,7 @@
 
     /** Goes on with a request that was admitted before: at once if a worker has room, otherwise through the queue. */
     void resubmit(QueuedRequest request) {
-        Optional<Upstream> worker = acquire(request.routing());
+        Optional<Upstream> worker = acquire(request.routing(), request::weighed);
         if (worker.isPresent()) {
             request.start(worker.get());
         } else {
@@ -116,12 +116,12 @@
     }
 
     /** Holds a worker for an attempt outside the queue. */
-    Optional<Upstream> acquire(RoutingRequest request) {
-        return lock.call(() -> workers.hasRoom() ? take(request) : Optional.empty());
+    Optional<Upstream> acquire(RoutingRequest request, WorkerTable.WeighingListener listener) {
+        return lock.call(() -> workers.hasRoom() ? take(request, listener) : Optional.empty());
     }
 
-    private Optional<Upstream> take(RoutingRequest request) {
-        Optional<Upstream> worker = workers.acquire(request);
+    private Optional<Upstream> take(RoutingRequest request, WorkerTable.WeighingListener listener) {
+        Optional<Upstream> worker = workers.acquire(request, listener);
         worker.ifPresent(chosen ->
                 invariants.check(Invariant.LEAVING_GETS_NO_WORK, !workers.isLeaving(chosen.name()), chosen.name()));
         return worker;
@@ -163,7 +163,7 @@
                 return;
             }
             QueuedRequest request = next.get().request();
-            Upstream worker = take(request.routing()).orElseThrow();
+            Upstream worker = take(request.routing(), request::weighed).orElseThrow();
             queue.started(next.get(), worker.name());
             assignments.add(new Assignment(request, worker));
         }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -8,6 +8,7 @@
 
     /** Upstreams that are leaving, as one node read or heard. */
     public static final int UPSTREAM_SIGNS = 5;
+
     /** Tells that a generation is in force at the sender: {@link ConfigurationMessages.Announcement}. */
     public static final int CONFIGURATION_ANNOUNCEMENT = 30;
 
@@ -22,6 +23,8 @@
 
     /** Demands on the limits of workspaces, answered by shares. */
     public static final int LIMIT_SHARES = 40;
+    /** Asks a node for the demand it has seen by model. */
+    public static final int PLACEMENT_DEMAND = 60;
 
     private MessageTypes() {}
 }
