Versions move engine by engine without a lost request

Cause: a draining engine still got requests until its next load report, each of which cost a retry; with the budget spent one of 79 requests was refused.

Ruled out: a refusal by the engine that counts as free, since retries would then have no bound when all engines refuse.

Change: engines list their ready models in the load report; an engine that says it does not hold the model gets no more work until it reports that it does (event 420). A placed model must be the only one of its service.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -77,6 +77,9 @@
     /** A stream was resumed. */
     STREAM_RESUMED(408, EventLevel.INFO, "The stream was resumed"),
 
+    /** The engine does not hold the model now. */
+    UPSTREAM_NOT_SERVING(420, EventLevel.INFO, "The upstream does not serve the model now"),
+
     /** The intent could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
     /** The key was used with another request. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerTable.java
@@ -42,6 +42,7 @@
         private double othersExchanged = -1;
         private long reportedAtMillis = Long.MIN_VALUE / 2;
         private boolean leaving;
+        private boolean serving = true;
         private boolean configured = true;
         private boolean aside;
 
@@ -51,7 +52,7 @@
         }
 
         private boolean usable() {
-            return configured && !leaving;
+            return configured && !leaving && serving;
         }
     }
 
@@ -119,6 +120,19 @@
         return worker != null && worker.leaving;
     }
 
+    /**
+     * Notes whether a worker says that it takes new work; one that drains or loads does not.
+     *
+     * @param name the worker's name
+     * @param serving whether it takes new work
+     */
+    public void markServing(String name, boolean serving) {
+        Entry worker = workers.get(name);
+        if (worker != null) {
+            worker.serving = serving;
+        }
+    }
+
     /**
      * Takes a load report.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetAssembler.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/FileSetAssembler.java
@@ -122,6 +122,9 @@
     }
 
     private void checkRules(BoundDocument document, FileSet fileSet) {
+        if ("Model".equals(document.kind())) {
+            checkPlacedModel(document, fileSet);
+        }
         if (!"RequestClass".equals(document.kind())) {
             return;
         }
@@ -145,6 +148,24 @@
         }
     }
 
+    /** A service whose models are placed has one model, since requests find its engines by service. */
+    private void checkPlacedModel(BoundDocument document, FileSet fileSet) {
+        Model model = fileSet.models().get(document.name());
+        long models = fileSet.models().values().stream()
+                .filter(other -> other.service().equals(model.service()))
+                .count();
+        if (model.isPlaced() && models > 1) {
+            document.report(
+                    reporter,
+                    "/leastWorkers",
+                    "'" + model.service() + "' has " + models
+                            + " models; a placed model must be the only one of its service");
+        }
+        if (model.leastWorkers() > model.mostWorkers()) {
+            document.report(reporter, "/mostWorkers", "must not be below leastWorkers, " + model.leastWorkers());
+        }
+    }
+
     private void checkAddresses(List<BoundDocument> documents, FileSet fileSet) {
         Map<String, String> taken = new HashMap<>();
         for (BoundDocument document : documents) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
@@ -192,6 +192,9 @@
     public void failed(GenerateAttempt attempt, AttemptFailure failure) {
         String detail = ticket().id() + " on " + attempt.upstream().name() + ": " + failure.message();
         dispatcher().record(failure.event(), detail);
+        if (failure.event() == EventCode.UPSTREAM_NOT_SERVING) {
+            dispatcher().decide(() -> service().notServing(attempt.upstream().name()));
+        }
         if (attempt.equals(hedge)) {
             dropHedge();
         } else if (hedge != null) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -60,7 +60,15 @@
     }
 
     void report(String workerName, LoadReport report) {
-        lock.run(() -> workers.report(workerName, report.running(), report.waiting()));
+        lock.run(() -> {
+            workers.report(workerName, report.running(), report.waiting());
+            workers.markServing(workerName, report.serving());
+        });
+    }
+
+    /** Gives an engine that does not hold its model no more work until it reports that it does. */
+    void notServing(String workerName) {
+        lock.run(() -> workers.markServing(workerName, false));
     }
 
     void cacheEvents(String workerName, List<CacheEvent> events) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/StreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/StreamAttempt.java
@@ -37,6 +37,7 @@
     private int nextIndex;
     private int wholeTokens = -1;
     private boolean ended;
+    private boolean generates;
 
     StreamAttempt(
             Vertx vertx,
@@ -62,6 +63,7 @@
     }
 
     void send(HttpClientRequest connected, Buffer body) {
+        generates = body != null;
         if (ended) {
             connected.reset();
             return;
@@ -111,8 +113,7 @@
         }
         lastByteNanos = System.nanoTime();
         if (response.statusCode() != OK) {
-            Verdict verdict = response.statusCode() == NOT_FOUND ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-            end(EventCode.UPSTREAM_ERROR, verdict, "status " + response.statusCode(), false);
+            refused(response.statusCode());
             return;
         }
         String answeredId = response.getHeader("X-Request-Id");
@@ -126,6 +127,17 @@
         response.endHandler(nothing -> endOfStream());
     }
 
+    private void refused(int status) {
+        String message = "status " + status;
+        if (status != NOT_FOUND) {
+            end(EventCode.UPSTREAM_ERROR, Verdict.MAY_HAVE_RUN, message, false);
+        } else if (generates) {
+            end(EventCode.UPSTREAM_NOT_SERVING, Verdict.NOT_RUN, message, false);
+        } else {
+            end(EventCode.UPSTREAM_ERROR, Verdict.NOT_RUN, message, false);
+        }
+    }
+
     private void bytes(Buffer chunk) {
         lastByteNanos = System.nanoTime();
         if (!ended) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
@@ -243,6 +243,13 @@
                 .compose(request -> request.idleTimeout(REPORT_TIMEOUT_MILLIS).send())
                 .compose(HttpClientResponse::body)
                 .map(JsonObject::new)
-                .map(body -> new LoadReport(body.getInteger("running", 0), body.getInteger("waiting", 0)));
+                .map(UpstreamClient::toLoadReport);
+    }
+
+    /** An engine that lists its ready models and has none takes no work; one that lists nothing takes it. */
+    private static LoadReport toLoadReport(JsonObject body) {
+        JsonArray models = body.getJsonArray("models");
+        boolean serving = models == null || !models.isEmpty();
+        return new LoadReport(body.getInteger("running", 0), body.getInteger("waiting", 0), serving);
     }
 }
