--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ActiveConfiguration.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ActiveConfiguration.java
@@ -1,7 +1,7 @@
 package io.lagoonseam.entry.configuration;
 
 import io.lagoonseam.core.configuration.Generation;
-import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.core.configuration.GenerationWatch;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.lock.LockRank;
 import io.lagoonseam.core.lock.RankedLock;
@@ -13,7 +13,7 @@
 
     private final RankedLock lock = new RankedLock(LockRank.CONFIGURATION);
     private final AtomicReference<Generation> current = new AtomicReference<>();
-    private final InvariantMonitor invariants;
+    private final GenerationWatch watch;
 
     /**
      * Creates a configuration with nothing in force.
@@ -21,7 +21,7 @@
      * @param invariants the checks at run time
      */
     public ActiveConfiguration(InvariantMonitor invariants) {
-        this.invariants = invariants;
+        this.watch = new GenerationWatch(invariants);
     }
 
     /**
@@ -46,10 +46,7 @@
                 return false;
             }
             current.set(generation);
-            invariants.check(
-                    Invariant.GENERATION_NEVER_FALLS,
-                    before == null || before.number() < generation.number(),
-                    "generation " + generation.number());
+            watch.inForce(generation.number());
             return true;
         });
     }
