--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/membership/MemberFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/membership/MemberFleet.java
@@ -67,6 +67,14 @@
         return (processCpuNanos() - before) / (double) TimeUnit.MILLISECONDS.toNanos(IDLE_MILLIS);
     }
 
+    /** Runs some nodes for a moment, so that the first size is not measured in code that was never run. */
+    static void warmUp(int size, long seed) throws InterruptedException {
+        try (MemberFleet fleet = new MemberFleet()) {
+            fleet.start(size, seed);
+            Thread.sleep(SETTLE_MILLIS);
+        }
+    }
+
     static MembershipFigures measure(int size, long seed) throws InterruptedException {
         long heapBefore = usedHeapBytes();
         try (MemberFleet fleet = new MemberFleet()) {
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/membership/MembershipExperiment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/membership/MembershipExperiment.java
@@ -34,7 +34,7 @@
     @Override
     public ExperimentResult run(ExperimentContext context) throws InterruptedException {
         double idleCoreShare = MemberFleet.coreShareWhileIdle();
-        MemberFleet.measure(WARM_UP_SIZE, context.seed());
+        MemberFleet.warmUp(WARM_UP_SIZE, context.seed());
         List<MembershipFigures> figures = new ArrayList<>();
         for (int size : SIZES) {
             figures.add(MemberFleet.measure(size, context.seed()));
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/LeavingUpstreams.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/LeavingUpstreams.java
@@ -107,9 +107,10 @@
      *
      * @param name the upstream
      * @param accepts whether the last connection was made
+     * @return whether this is news
      */
-    public void connected(String name, boolean accepts) {
-        lock.run(() -> set(refusing, name, !accepts));
+    public boolean connected(String name, boolean accepts) {
+        return lock.call(() -> set(refusing, name, !accepts));
     }
 
     /**
@@ -117,17 +118,14 @@
      *
      * @param name the upstream
      * @param leaves whether it announces that it leaves
+     * @return whether this is news
      */
-    public void announced(String name, boolean leaves) {
-        lock.run(() -> set(announced, name, leaves));
+    public boolean announced(String name, boolean leaves) {
+        return lock.call(() -> set(announced, name, leaves));
     }
 
-    private static void set(Set<String> names, String name, boolean present) {
-        if (present) {
-            names.add(name);
-        } else {
-            names.remove(name);
-        }
+    private static boolean set(Set<String> names, String name, boolean present) {
+        return present ? names.add(name) : names.remove(name);
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/UpdateQueue.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/UpdateQueue.java
@@ -9,7 +9,7 @@
 /** What is still to be told of members: each update a number of times that grows with the logarithm of the members. */
 final class UpdateQueue {
 
-    private static final int TRANSMISSIONS_FACTOR = 4;
+    private static final int TRANSMISSIONS_FACTOR = 2;
 
     private final Map<String, Integer> timesToldById = new LinkedHashMap<>();
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/peer/VertxPeerTransport.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/peer/VertxPeerTransport.java
@@ -132,6 +132,10 @@
     }
 
     private void begin(String nodeId, PendingRequest request, long timeoutMillis) {
+        if (!open) {
+            request.fail("the peer layer has ended");
+            return;
+        }
         long begunMillis = owner.nowMillis();
         long timer = vertx.setTimer(Math.max(1, timeoutMillis), fired -> expire(nodeId, request, begunMillis));
         request.whenDone(() -> vertx.cancelTimer(timer));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/UpstreamWatch.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/UpstreamWatch.java
@@ -139,8 +139,9 @@
      * @param accepts whether the last connection was made
      */
     public void connected(String name, boolean accepts) {
-        leaving.connected(name, accepts);
-        apply();
+        if (leaving.connected(name, accepts)) {
+            apply();
+        }
     }
 
     /**
@@ -150,8 +151,9 @@
      * @param leaves whether it announces that it leaves
      */
     public void announced(String name, boolean leaves) {
-        leaving.announced(name, leaves);
-        apply();
+        if (leaving.announced(name, leaves)) {
+            apply();
+        }
     }
 
     /**
