--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,10 +1,14 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.chaos.ChaosExperiment;
+import io.lagoonseam.bench.cost.EntryCostExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.membership.MembershipExperiment;
 import io.lagoonseam.bench.membership.RollingExperiment;
+import io.lagoonseam.bench.operation.DuplicatesExperiment;
+import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -14,8 +18,12 @@
 
     private static final List<Experiment> ALL = List.of(
             new BurstExperiment(),
+            new ChaosExperiment(),
+            new DuplicatesExperiment(),
+            new EntryCostExperiment(),
             new LeaseExperiment(),
             new MembershipExperiment(),
+            new OutageExperiment(),
             new PropagationExperiment(),
             new RollingExperiment(),
             new RouterCostExperiment());
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
@@ -32,6 +32,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -53,6 +54,8 @@
     private final Map<String, PlainServiceStandIn> plainServices = new LinkedHashMap<>();
     private final Map<String, String> deploymentIds = new HashMap<>();
     private final List<EntryNode> nodes = new CopyOnWriteArrayList<>();
+    private final Map<String, PlatformLink> links = new TreeMap<>();
+    private List<SourceFile> appliedFiles = List.of();
     private int startedNodes;
     private final HttpClient client;
     private PlatformStandIn platform;
@@ -133,7 +136,13 @@
             Upstream upstream = fileSet.upstreams().get(name);
             ports.put(upstream.port(), startUpstream(upstream).port());
         }
-        apply(PortRewriter.rewrite(files, ports));
+        for (String dataCentre : dataCentres()) {
+            PlatformLink link = new PlatformLink(HOST, platform.port());
+            await(vertx.deployVerticle(link));
+            links.put(dataCentre, link);
+        }
+        appliedFiles = PortRewriter.rewrite(files, ports);
+        apply(appliedFiles);
         for (int index = 0; index < nodeCount; index++) {
             startNode(index);
         }
@@ -203,6 +212,57 @@
         return node;
     }
 
+    /**
+     * Adds a node without waiting until it is ready.
+     *
+     * @return the node
+     */
+    public EntryNode launchNode() {
+        return startNode(startedNodes);
+    }
+
+    /**
+     * Ends a node without finishing what is in flight, as a crash would.
+     *
+     * @param node the node
+     */
+    public void haltNode(EntryNode node) {
+        nodes.remove(node);
+        await(node.halt());
+    }
+
+    /**
+     * Returns the data centres of the file set.
+     *
+     * @return their names, sorted
+     */
+    public List<String> dataCentres() {
+        return fileSet.upstreams().values().stream()
+                .map(Upstream::dataCentre)
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    /**
+     * Returns the way of a data centre's nodes to the platform.
+     *
+     * @param dataCentre the data centre
+     * @return the link
+     */
+    public PlatformLink link(String dataCentre) {
+        return links.get(dataCentre);
+    }
+
+    /**
+     * Returns the file set as it was applied.
+     *
+     * @return the files with the ports of the stand-ins
+     */
+    public List<SourceFile> appliedFiles() {
+        return List.copyOf(appliedFiles);
+    }
+
     /**
      * Stops a node gracefully.
      *
@@ -275,13 +335,12 @@
     }
 
     private EntryNode startNode(int index) {
-        List<String> dataCentres = fileSet.upstreams().values().stream()
-                .map(Upstream::dataCentre)
-                .distinct()
-                .sorted()
-                .toList();
+        List<String> dataCentres = dataCentres();
+        String dataCentre = dataCentres.get(index % dataCentres.size());
         EntrySettings settings = EntrySettings.builder(
-                        "entry-" + (index + 1), dataCentres.get(index % dataCentres.size()), platform.url())
+                        "entry-" + (index + 1),
+                        dataCentre,
+                        links.get(dataCentre).url())
                 .seed(seed + index)
                 .build();
         EntryNode node = new EntryNode(vertx, settings, events, policies);
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/traffic/TrafficGenerator.java
@@ -33,6 +33,8 @@
     private static final long PROGRESS_MILLIS = 1_000;
     private static final double NANOS_PER_MILLI = 1e6;
     private static final String DATA = "data: ";
+    private static final String NOT_RUN = "not_run";
+    private static final String NO_NODE = "no_node";
 
     private final Vertx vertx;
     private final Context context;
@@ -194,16 +196,21 @@
         ClassReport classReport = report.ofClass(classProfile.requestClass());
         classReport.request();
         List<String> present = targets.get();
+        if (present.isEmpty()) {
+            classReport.refused(NO_NODE);
+            requestsRunning--;
+            return;
+        }
         String target = present.get(nextTarget++ % present.size());
-        RequestOptions options = options(classProfile, target, key, number);
-        Exchange exchange = new Exchange(classProfile, classReport, prompt(classProfile, number), intendedNanos);
+        Exchange exchange = new Exchange(classProfile, classReport, number, intendedNanos);
+        RequestOptions options = options(classProfile, target, key, exchange.idempotencyKey);
         client.request(options)
                 .compose(request -> request.send(exchange.body().toBuffer()))
                 .onSuccess(exchange::answered)
                 .onFailure(cause -> exchange.broken());
     }
 
-    private static RequestOptions options(ClassProfile classProfile, String target, String key, long number) {
+    private static RequestOptions options(ClassProfile classProfile, String target, String key, String idempotencyKey) {
         String path = classProfile.generates() ? "/v1/chat/completions" : classProfile.path();
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
@@ -212,7 +219,7 @@
                 .putHeader("Content-Type", "application/json")
                 .putHeader("X-Request-Class", classProfile.requestClass());
         if (classProfile.keyed()) {
-            options.putHeader("Idempotency-Key", classProfile.requestClass() + "-" + number);
+            options.putHeader("Idempotency-Key", idempotencyKey);
         }
         return options;
     }
@@ -231,6 +238,7 @@
         private final ClassProfile classProfile;
         private final ClassReport classReport;
         private final String prompt;
+        private final String idempotencyKey;
         private final long startNanos;
         private final StringBuilder pending = new StringBuilder();
         private final StringBuilder text = new StringBuilder();
@@ -240,10 +248,11 @@
         private boolean done;
         private boolean refusedMidway;
 
-        private Exchange(ClassProfile classProfile, ClassReport classReport, String prompt, long startNanos) {
+        private Exchange(ClassProfile classProfile, ClassReport classReport, long number, long startNanos) {
             this.classProfile = classProfile;
             this.classReport = classReport;
-            this.prompt = prompt;
+            this.prompt = prompt(classProfile, number);
+            this.idempotencyKey = classProfile.requestClass() + "-" + seed + "-" + number;
             this.startNanos = startNanos;
         }
 
@@ -345,7 +354,11 @@
 
         private void refused(String body) {
             try {
-                classReport.refused(new JsonObject(body).getJsonObject("error").getString("verdict"));
+                String verdict = new JsonObject(body).getJsonObject("error").getString("verdict");
+                classReport.refused(verdict);
+                if (NOT_RUN.equals(verdict) && classProfile.keyed()) {
+                    report.addKeyNotRun(idempotencyKey);
+                }
             } catch (DecodeException | NullPointerException e) {
                 classReport.refused("unreadable");
             }
