--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -180,7 +180,7 @@
             releaseWorker();
         }
         if (deliveredTokens() > 0) {
-            dispatcher.metrics().wasted("callerGone", deliveredTokens());
+            dispatcher.metrics().wasted(ticket, "callerGone", deliveredTokens());
         }
     }
 
@@ -293,7 +293,7 @@
         markEnded(0, false);
         releaseWorker();
         if (deliveredTokens() > 0) {
-            dispatcher.metrics().wasted("refused", deliveredTokens());
+            dispatcher.metrics().wasted(ticket, "refused", deliveredTokens());
         }
         dispatcher.metrics().refused(ticket, refusal);
         explainer.refused(refusal);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/RouterMetrics.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/RouterMetrics.java
@@ -118,11 +118,15 @@
     /**
      * Counts tokens that were generated for nobody.
      *
-     * @param cause the numbered reason in words
+     * @param ticket the request that they were generated for
+     * @param cause the reason in words
      * @param tokens the tokens
      */
-    public void wasted(String cause, int tokens) {
+    public void wasted(Ticket ticket, String cause, int tokens) {
         registry.counter("wasted.tokens." + cause).inc(tokens);
+        registry.counter(classPrefix(ticket) + ".wasted." + cause).inc(tokens);
+        registry.counter("workspace." + workspaces.of(ticket.workspace()) + ".wasted." + cause)
+                .inc(tokens);
     }
 
     /**
