--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,11 +1,14 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.decision.DecisionCostExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.experiment.routing.RoutingExperiment;
+import io.lagoonseam.bench.operation.DuplicatesExperiment;
+import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -21,7 +24,10 @@
             FaultExperiment.silent(),
             FaultExperiment.crossed(),
             new RoutingExperiment(),
+            new ChaosExperiment(),
+            new DuplicatesExperiment(),
             new LeaseExperiment(),
+            new OutageExperiment(),
             new PropagationExperiment(),
             new RouterCostExperiment());
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/decision/DecisionCostExperiment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/decision/DecisionCostExperiment.java
@@ -67,7 +67,8 @@
     private static ExperimentResult result(Map<Integer, Map<String, Double>> nanosByWorkers) {
         ObjectNode fields = new ObjectMapper().createObjectNode();
         ArrayNode rows = fields.putArray("decisions");
-        StringBuilder report = new StringBuilder("# decision-cost\n\nAt 0 workers, admission alone. A node uses 64 workers of a larger service.\n\n");
+        StringBuilder report = new StringBuilder(
+                "# decision-cost\n\nAt 0 workers, admission alone. A node uses 64 workers of a larger service.\n\n");
         report.append("| workers | chosen ns | baseline ns | ratio |\n|---|---|---|---|\n");
         nanosByWorkers.forEach((workers, nanos) -> {
             double chosen = nanos.get(ComparedPolicy.CHOSEN);
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/dispatch/RouterMetricsTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/dispatch/RouterMetricsTest.java
@@ -39,7 +39,9 @@
 
     @Test
     public void countsRefusalsWithReason() {
-        metrics.refused(ticket("edmonton"), Refusal.builder(EventCode.SHED_FOR_HIGHER_TIER, 503).build());
+        metrics.refused(
+                ticket("edmonton"),
+                Refusal.builder(EventCode.SHED_FOR_HIGHER_TIER, 503).build());
         assertEquals(registry.counter("class.aftercare.refused.not_run.303").getCount(), 1);
         assertEquals(registry.counter("workspace.edmonton.refused.not_run.303").getCount(), 1);
     }
