--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/lock/LockRank.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/lock/LockRank.java
@@ -10,6 +10,8 @@
     PLACEMENT,
     /** The queues and the workers of one service. */
     SERVICE,
+    /** The shares of workers' capacity that this node grants. */
+    CAPACITY,
     /** The intents of one journal shard. */
     JOURNAL,
     /** The limits of workspaces. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerHealth.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerHealth.java
@@ -8,7 +8,7 @@
  */
 public final class WorkerHealth {
 
-    private static final double PACE_WEIGHT = 0.25;
+    private static final double PACE_WEIGHT = 0.33;
     private static final int MIN_PACE_SAMPLES = 2;
     private static final double NOTABLE_SLOWNESS = 1.5;
     private static final double STRAGGLER_SLOWNESS = 2.5;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/WorkerTable.java
@@ -39,8 +39,9 @@
         private int inFlight;
         private double reportedWaiting;
         private double othersReported;
-        private double othersExchanged = -1;
         private long reportedAtMillis = Long.MIN_VALUE / 2;
+        private long leasedSlots;
+        private long leasedUntilMillis = Long.MIN_VALUE;
         private boolean leaving;
         private boolean configured = true;
         private boolean aside;
@@ -138,12 +139,18 @@
     }
 
     /**
-     * Takes what other nodes have in flight.
+     * Takes a share of a worker's capacity; until it expires, it bounds what this node sends there.
      *
-     * @param sums their requests by the worker's name
+     * @param name the worker's name
+     * @param slots the most requests of this node at once
+     * @param untilMillis the monotonic time of its expiry
      */
-    public void exchanged(Map<String, Integer> sums) {
-        workers.forEach((name, worker) -> worker.othersExchanged = sums.getOrDefault(name, 0));
+    public void lease(String name, long slots, long untilMillis) {
+        Entry worker = workers.get(name);
+        if (worker != null) {
+            worker.leasedSlots = slots;
+            worker.leasedUntilMillis = untilMillis;
+        }
     }
 
     /**
@@ -179,7 +186,7 @@
     }
 
     /**
-     * Returns the requests of this node by worker, to tell other nodes.
+     * Returns the requests of this node by worker.
      *
      * @return requests in flight by the worker's name
      */
@@ -205,7 +212,11 @@
     }
 
     private int limit(Entry worker) {
-        return adaptive ? worker.limit.current() : worker.upstream.concurrency();
+        if (!adaptive) {
+            return worker.upstream.concurrency();
+        }
+        boolean leased = time.monotonicMillis() < worker.leasedUntilMillis;
+        return leased ? (int) Math.min(worker.leasedSlots, worker.limit.current()) : worker.limit.current();
     }
 
     /**
@@ -283,7 +294,7 @@
                 worker.reportedWaiting,
                 nowMillis - worker.reportedAtMillis,
                 worker.othersReported,
-                worker.othersExchanged,
+                -1,
                 worker.health.slowFactor(peersPaceMillis));
     }
 
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/routing/WorkerTableTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/routing/WorkerTableTest.java
@@ -130,6 +130,20 @@
         assertTrue(table.hasRoom(), "the limit did not grow again");
     }
 
+    @Test
+    public void leasedShareBoundsWorkUntilItExpires() {
+        table.configure(workers(1));
+        table.lease("w0", 2, time.monotonicMillis() + 1_000);
+        int held = 0;
+        while (table.hasRoom()) {
+            table.acquire(URGENT).orElseThrow();
+            held++;
+        }
+        assertEquals(held, 2);
+        time.advanceMillis(1_000);
+        assertTrue(table.hasRoom(), "the expired share still bounds");
+    }
+
     @Test
     public void freshReportCountsAndStaleOneDoesNot() {
         table.configure(workers(2));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -15,6 +15,7 @@
 import io.lagoonseam.entry.configuration.FollowerEnvironment;
 import io.lagoonseam.entry.configuration.GenerationPiggyback;
 import io.lagoonseam.entry.configuration.InForceReader;
+import io.lagoonseam.entry.dispatch.CapacityExchange;
 import io.lagoonseam.entry.dispatch.DispatchEnvironment;
 import io.lagoonseam.entry.dispatch.Dispatcher;
 import io.lagoonseam.entry.dispatch.RouterMetrics;
@@ -53,6 +54,7 @@
 
     private static final long TICK_MILLIS = 20;
     private static final long LOAD_POLL_MILLIS = 500;
+    private static final long CAPACITY_MILLIS = 250;
     private static final long VM_POLL_MILLIS = 1_000;
     private static final long LAST_ANSWERS_SECONDS = 2;
 
@@ -80,6 +82,7 @@
     private final List<StopParticipant> participants = new CopyOnWriteArrayList<>();
     private final NodeTls tls;
     private final UpstreamWatch upstreamWatch;
+    private final CapacityExchange capacity;
     private volatile State state = State.SERVING;
     private HttpServer callerServer;
     private HttpServer operatorServer;
@@ -143,6 +146,7 @@
                 time,
                 events));
         dispatcher.onConnection(upstreamWatch::connected);
+        this.capacity = new CapacityExchange(peers.members(), peers.transport(), dispatcher, time, decisions);
     }
 
     private void configure(FileSet fileSet) {
@@ -223,6 +227,7 @@
         tls.watch(callerServer, peers::renew);
         timers.add(vertx.setPeriodic(TICK_MILLIS, timer -> dispatcher.tick()));
         timers.add(vertx.setPeriodic(LOAD_POLL_MILLIS, timer -> dispatcher.pollLoad()));
+        timers.add(vertx.setPeriodic(CAPACITY_MILLIS, timer -> decisions.execute(capacity::tick)));
         timers.add(vertx.setPeriodic(VM_POLL_MILLIS, timer -> decisions.execute(upstreamWatch::tick)));
         events.record(EventCode.NODE_STARTED, "callers on port " + callerPort() + ", operators on " + operatorPort());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/Dispatcher.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 /** Runs the decisions about all services on the decision threads. */
@@ -228,6 +229,10 @@
         return trail;
     }
 
+    void eachService(Consumer<ServiceDispatcher> action) {
+        services.values().forEach(action);
+    }
+
     ServiceDispatcher service(String name) {
         return services.computeIfAbsent(name, unknown -> newService());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/GenerateAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/GenerateAttempt.java
@@ -12,7 +12,7 @@
 /** One worker's part in a generating request: a stream, perhaps resumed over further connections. */
 final class GenerateAttempt implements StreamListener {
 
-    private static final int PACE_TOKENS = 4;
+    private static final int PACE_TOKENS = 3;
 
     private final UpstreamClient client;
     private final GenerateRequest request;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -40,6 +40,7 @@
     private final TimeSource time;
     private final InvariantMonitor invariants;
     private final RouterMetrics metrics;
+    private long arrivals;
     private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
     ServiceDispatcher(
@@ -84,6 +85,21 @@
         lock.run(() -> workers.observePace(workerName, gapMillis));
     }
 
+    /** Takes shares of workers' capacity. */
+    void lease(Map<String, Long> slots, long untilMillis) {
+        lock.run(() -> slots.forEach((worker, count) -> workers.lease(worker, count, untilMillis)));
+        pump();
+    }
+
+    /** Returns the demand since the last call: arrivals and what waits. */
+    long takeDemand() {
+        return lock.call(() -> {
+            long demand = 1 + arrivals + admission.size();
+            arrivals = 0;
+            return demand;
+        });
+    }
+
     List<Upstream> upstreams() {
         return lock.call(workers::upstreams);
     }
@@ -99,6 +115,7 @@
             if (result instanceof OfferResult.Refused refused) {
                 return Optional.of(refused.refusal());
             }
+            arrivals++;
             waiting.put(request.ticket().id(), request);
             return Optional.empty();
         });
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
@@ -79,4 +79,16 @@
             return values;
         });
     }
+
+    Map<String, Long> counts() {
+        return step(() -> {
+            int size = checkedSize(unpacker.unpackMapHeader());
+            Map<String, Long> values = new HashMap<>();
+            for (int index = 0; index < size; index++) {
+                String key = unpacker.unpackString();
+                values.put(key, unpacker.unpackLong());
+            }
+            return values;
+        });
+    }
 }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -24,5 +24,8 @@
     /** Asks a node for the demand it has seen by model. */
     public static final int PLACEMENT_DEMAND = 60;
 
+    /** Asks the home of some workers for shares of their capacity: {@link RoutingMessages.Demand}. */
+    public static final int CAPACITY_DEMAND = 50;
+
     private MessageTypes() {}
 }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageWriter.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageWriter.java
@@ -61,6 +61,15 @@
         });
     }
 
+    MessageWriter counts(Map<String, Long> values) {
+        return step(() -> {
+            packer.packMapHeader(values.size());
+            for (Map.Entry<String, Long> entry : values.entrySet()) {
+                packer.packString(entry.getKey()).packLong(entry.getValue());
+            }
+        });
+    }
+
     byte[] bytes() {
         return packer.toByteArray();
     }
