--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import io.lagoonseam.core.configuration.FileSet;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.membership.StopParticipant;
+import io.lagoonseam.core.operation.ShardedOperationJournal;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.caller.CallerRoutes;
@@ -24,8 +25,8 @@
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
 import io.lagoonseam.entry.placement.NodePlacement;
+import io.lagoonseam.entry.platform.NodeJournal;
 import io.lagoonseam.entry.platform.PlatformClient;
-import io.lagoonseam.entry.platform.SingleWriteOperationJournal;
 import io.lagoonseam.entry.platform.UpstreamWatch;
 import io.lagoonseam.entry.settings.EntrySettings;
 import io.lagoonseam.entry.settings.ListenAddress;
@@ -73,6 +74,7 @@
     private final InvariantMonitor invariants;
     private final ActiveConfiguration configuration;
     private final PlatformClient platform;
+    private final ShardedOperationJournal journal;
     private final ExecutorService decisions;
     private final PeerLayer peers;
     private final Dispatcher dispatcher;
@@ -118,11 +120,12 @@
         this.decisions = newDecisionThreads(settings);
         this.peers =
                 new PeerLayer(new PeerLayer.Environment(vertx, settings, platform, decisions, time, registry, events));
+        this.journal = NodeJournal.create(vertx, platform, peers, configuration, invariants);
         this.dispatcher = new Dispatcher(new DispatchEnvironment(
                 decisions,
                 time,
                 new UpstreamClient(vertx),
-                new SingleWriteOperationJournal(platform),
+                journal,
                 new RouterMetrics(registry),
                 invariants,
                 events,
