--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
+import io.lagoonseam.bench.experiment.decision.DecisionCostExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.experiment.routing.RoutingExperiment;
@@ -17,6 +18,7 @@
 
     private static final List<Experiment> ALL = List.of(
             new BurstExperiment(),
+            new DecisionCostExperiment(),
             FaultExperiment.straggler(),
             FaultExperiment.crash(),
             FaultExperiment.silent(),
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
@@ -30,6 +30,7 @@
 
     private static final long TIMEOUT_SECONDS = 60;
     private static final long WARM_UP_MILLIS = 1_500;
+    private static final double P95 = 95;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final PolicyScenario scenario;
@@ -85,7 +86,7 @@
                 LocalFleet.start(shape.files(), shape.nodes(), seed, new NoopEventSink(), policy.policies(), engines)) {
             HttpClient client = fleet.vertx().createHttpClient();
             StepCounter steps = new StepCounter(fleet, client);
-            fleet.vertx().setTimer(scenario.windowStartMillis(), timer -> steps.markStart());
+            fleet.vertx().setTimer(Math.max(1, scenario.windowStartMillis()), timer -> steps.markStart());
             fleet.vertx().setTimer(scenario.windowEndMillis(), timer -> steps.markEnd());
             scenario.faults().schedule(fleet);
             Future<TrafficReport> traffic =
@@ -138,6 +139,8 @@
                             seen.answered(),
                             seen.attainment(),
                             ofAnswered,
+                            seen.firstTokenMillis(P95),
+                            seen.betweenTokensMillis(P95),
                             waitMillis,
                             fileSet.serviceLevels().get(level).longestWaitMillis()));
         });
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/admission/AdmissionController.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/admission/AdmissionController.java
@@ -9,8 +9,8 @@
     /**
      * Offers an arriving request.
      *
-     * @param ticket the request
-     * @return whether it waits or is refused
+     * @param ticket the request, whose arrival is the present
+     * @return whether it waits, perhaps in the place of another one, or is refused
      */
     OfferResult offer(Ticket ticket);
 
@@ -23,7 +23,7 @@
     Optional<Ticket> poll(long nowMillis);
 
     /**
-     * Removes the requests whose deadline has passed, each to be answered at once.
+     * Removes the requests that are given up, each to be answered at once.
      *
      * @param nowMillis the monotonic time
      * @return the removed requests
@@ -44,4 +44,35 @@
      * @return the number over all classes
      */
     int size();
+
+    /**
+     * Returns whether a request of a tier below urgent holds a place that urgent requests may take.
+     *
+     * @return true if one could give its place to an urgent request
+     */
+    default boolean hasPlaceForUrgent() {
+        return false;
+    }
+
+    /**
+     * Corrects the estimate of a started request by what has come of its answer.
+     *
+     * @param id the request's id
+     * @param tokens the tokens of its answer so far
+     */
+    default void progressed(String id, int tokens) {
+        // Only controllers that estimate answer lengths use it.
+    }
+
+    /**
+     * Ends a started request.
+     *
+     * @param id the request's id
+     * @param tokens the tokens of its answer
+     * @param whole whether the answer is whole, so that its length is learnt
+     * @param nowMillis the monotonic time
+     */
+    default void finished(String id, int tokens, boolean whole, long nowMillis) {
+        // Only controllers that estimate answer lengths use it.
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -13,8 +13,10 @@
 import io.lagoonseam.entry.upstream.AttemptFailure;
 import io.vertx.core.Context;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * The way of one request: queued, run on a worker, perhaps tried again, and ended exactly once. State changes happen on
@@ -23,6 +25,15 @@
 abstract class AbstractRequestRunner implements QueuedRequest, CancellableRequest {
 
     private static final int BAD_GATEWAY = 502;
+    private static final int FIRST_PROGRESS_TOKENS = 16;
+
+    /** Whether the request counts against the limits of its workspace. */
+    private enum LimitPlace {
+        NOT_HELD,
+        HELD,
+        GIVEN_BACK
+    }
+
     private static final int UNAVAILABLE = 503;
 
     private final Dispatcher dispatcher;
@@ -31,6 +42,7 @@
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
     private final ServiceRecovery recovery;
+    private final AtomicReference<LimitPlace> limitPlace = new AtomicReference<>(LimitPlace.NOT_HELD);
     private final RequestExplainer explainer;
     private Upstream worker;
     private AttemptResult attemptResult = AttemptResult.NEUTRAL;
@@ -101,11 +113,22 @@
         return ended;
     }
 
-    final boolean wasSent() {
+    @Override
+    public final boolean wasSent() {
         return sent;
     }
 
     final void submit() {
+        long nowMillis = dispatcher.time().monotonicMillis();
+        Optional<Refusal> overLimit = dispatcher.limiter().tryAcquire(ticket.workspace(), nowMillis);
+        if (overLimit.isPresent()) {
+            refuse(overLimit.get());
+            return;
+        }
+        if (!limitPlace.compareAndSet(LimitPlace.NOT_HELD, LimitPlace.HELD)) {
+            dispatcher.limiter().release(ticket.workspace(), 0, nowMillis);
+            return;
+        }
         service().submit(this);
     }
 
@@ -121,7 +144,10 @@
     public final void start(Upstream chosen) {
         context.runOnContext(nothing -> {
             if (ended) {
-                dispatcher.decide(() -> service().release(chosen, AttemptResult.NEUTRAL));
+                dispatcher.decide(() -> {
+                    service().finished(ticket.id(), 0, false);
+                    service().release(chosen, AttemptResult.NEUTRAL);
+                });
                 return;
             }
             worker = chosen;
@@ -150,7 +176,7 @@
         if (ended) {
             return;
         }
-        markEnded();
+        markEnded(0, false);
         dispatcher.record(EventCode.CALLER_GONE, ticket.id());
         explainer.callerGone();
         dispatcher.decide(() -> service().cancel(ticket.id()));
@@ -187,6 +213,13 @@
         sent = true;
     }
 
+    /** Corrects the expected length of the answer, ever more rarely as it grows. */
+    final void noteProgress(int tokens) {
+        if (tokens >= FIRST_PROGRESS_TOKENS && Integer.bitCount(tokens) == 1) {
+            dispatcher.decide(() -> service().progressed(ticket.id(), tokens));
+        }
+    }
+
     final void releaseWorker() {
         Upstream held = worker;
         worker = null;
@@ -262,7 +295,7 @@
         }
         boolean truthful = refusal.verdict() != Verdict.NOT_RUN || !sent;
         dispatcher.invariants().check(Invariant.NOT_RUN_IS_TRUE, truthful, ticket.id());
-        markEnded();
+        markEnded(0, false);
         releaseWorker();
         if (deliveredTokens() > 0) {
             dispatcher.metrics().wasted("refused", deliveredTokens());
@@ -274,7 +307,7 @@
 
     final void endWithAnswer(long firstTokenMillis, int tokens) {
         String workerName = worker == null ? BoundedNames.OTHER : worker.name();
-        markEnded();
+        markEnded(tokens, true);
         attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
         recovery.budget().recordSuccess();
@@ -292,8 +325,16 @@
                         tokens));
     }
 
-    private void markEnded() {
+    private void markEnded(int tokens, boolean whole) {
         ended = true;
+        int generated = Math.max(tokens, deliveredTokens());
+        dispatcher.decide(() -> {
+            service().finished(ticket.id(), tokens, whole);
+            if (limitPlace.getAndSet(LimitPlace.GIVEN_BACK) == LimitPlace.HELD) {
+                long nowMillis = dispatcher.time().monotonicMillis();
+                dispatcher.limiter().release(ticket.workspace(), generated, nowMillis);
+            }
+        });
         dispatcher.ended(this);
         dispatcher.finished();
         afterEnd();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ModelRequestRunner.java
@@ -161,6 +161,7 @@
             firstTokenMillis = dispatcher().time().monotonicMillis() - ticket().arrivalMillis();
         }
         sink().token(text);
+        noteProgress(index + 1);
     }
 
     /** The first of two attempts that brings something goes on; the other is cancelled. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/QueuedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/QueuedRequest.java
@@ -17,6 +17,13 @@
      */
     Ticket ticket();
 
+    /**
+     * Returns whether an attempt was sent already, so that the request is neither shed nor refused any more.
+     *
+     * @return true once a byte may have reached an upstream
+     */
+    boolean wasSent();
+
     /**
      * Returns the request as routing sees it.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -1,9 +1,6 @@
 package io.lagoonseam.entry.dispatch;
 
 import io.lagoonseam.core.admission.AdmissionController;
-import io.lagoonseam.core.admission.OfferResult;
-import io.lagoonseam.core.admission.ShedTicket;
-import io.lagoonseam.core.admission.Ticket;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
@@ -20,10 +17,7 @@
 import io.lagoonseam.entry.upstream.LoadReport;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -33,13 +27,11 @@
     private static final long INITIAL_RETRY_AFTER_MILLIS = 1_000;
 
     private final RankedLock lock = new RankedLock(LockRank.SERVICE);
-    private final AdmissionController admission;
-    private final Map<String, QueuedRequest> waiting = new HashMap<>();
+    private final ServiceQueue queue;
     private final WorkerTable workers;
     private final RetryAfterEstimate retryAfter;
     private final TimeSource time;
     private final InvariantMonitor invariants;
-    private final RouterMetrics metrics;
     private long arrivals;
     private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
@@ -49,8 +41,7 @@
             TimeSource time,
             InvariantMonitor invariants,
             RouterMetrics metrics) {
-        this.metrics = metrics;
-        this.admission = admission;
+        this.queue = new ServiceQueue(admission, invariants, metrics);
         this.workers = workers;
         this.retryAfter = new RetryAfterEstimate(time);
         this.time = time;
@@ -94,7 +85,7 @@
     /** Returns the demand since the last call: arrivals and what waits. */
     long takeDemand() {
         return lock.call(() -> {
-            long demand = 1 + arrivals + admission.size();
+            long demand = 1 + arrivals + queue.size();
             arrivals = 0;
             return demand;
         });
@@ -110,22 +101,27 @@
     }
 
     void submit(QueuedRequest request) {
-        Optional<Refusal> refusal = lock.call(() -> {
-            OfferResult result = admission.offer(request.ticket());
-            if (result instanceof OfferResult.Refused refused) {
-                return Optional.of(refused.refusal());
-            }
+        List<ServiceQueue.Shed> shed = lock.call(() -> {
             arrivals++;
-            waiting.put(request.ticket().id(), request);
-            return Optional.empty();
+            return queue.offer(request, time.monotonicMillis());
         });
-        refusal.ifPresent(request::refuse);
+        shed.forEach(ServiceQueue.Shed::answer);
         pump();
     }
 
+    /** Corrects what a running request is expected to cost. */
+    void progressed(String id, int tokens) {
+        lock.run(() -> queue.progressed(id, tokens));
+    }
+
+    /** Ends a running request. */
+    void finished(String id, int tokens, boolean whole) {
+        lock.run(() -> queue.finished(id, tokens, whole, time.monotonicMillis()));
+    }
+
     /** Withdraws a request whose caller has gone; returns whether it was still waiting. */
     boolean cancel(String id) {
-        return lock.call(() -> waiting.remove(id) != null && admission.cancel(id));
+        return lock.call(() -> queue.cancel(id));
     }
 
     /** Goes on with a request that was admitted before: at once if a worker has room, otherwise through the queue. */
@@ -162,53 +158,39 @@
     }
 
     int waitingCount() {
-        return lock.call(admission::size);
+        return lock.call(queue::size);
     }
 
     /** Refuses what has passed its deadline and starts what has a worker. */
     void pump() {
         List<Assignment> assignments = new ArrayList<>();
-        List<ShedTicket> expired = new ArrayList<>();
-        List<QueuedRequest> expiredRequests = new ArrayList<>();
+        List<ServiceQueue.Shed> expired = new ArrayList<>();
         lock.run(() -> {
             long nowMillis = time.monotonicMillis();
-            expired.addAll(admission.expire(nowMillis));
-            expired.forEach(
-                    shed -> expiredRequests.add(waiting.remove(shed.ticket().id())));
+            expired.addAll(queue.expire(nowMillis));
             assign(nowMillis, assignments);
-            retryAfterMillis = retryAfter.retryAfterMillis(admission.size());
+            retryAfterMillis = retryAfter.retryAfterMillis(queue.size());
         });
-        for (int index = 0; index < expired.size(); index++) {
-            expiredRequests.get(index).refuse(expired.get(index).refusal());
-        }
+        expired.forEach(ServiceQueue.Shed::answer);
         assignments.forEach(assignment -> assignment.request().start(assignment.worker()));
     }
 
     private void assign(long nowMillis, List<Assignment> assignments) {
         while (workers.hasRoom()) {
-            Optional<Ticket> next = admission.poll(nowMillis);
+            Optional<ServiceQueue.Next> next = queue.poll(nowMillis);
             if (next.isEmpty()) {
                 return;
             }
-            QueuedRequest request = waiting.remove(next.get().id());
-            RoutingRequest routing = request.routing();
-            Upstream worker = take(routing, request::weighed).orElseThrow();
-            if (routing.excludedWorkers().isEmpty()) {
-                metrics.started(
-                        next.get(), worker.name(), nowMillis - next.get().arrivalMillis());
-            }
+            QueuedRequest request = next.get().request();
+            Upstream worker = take(request.routing(), request::weighed).orElseThrow();
+            queue.started(next.get(), worker.name());
             assignments.add(new Assignment(request, worker));
         }
     }
 
     /** Refuses every waiting request, for a service that was removed. */
     void close() {
-        Set<QueuedRequest> removed = new HashSet<>();
-        lock.run(() -> {
-            removed.addAll(waiting.values());
-            waiting.keySet().forEach(admission::cancel);
-            waiting.clear();
-        });
+        List<QueuedRequest> removed = lock.call(queue::clear);
         removed.forEach(request ->
                 request.refuse(Refusal.builder(EventCode.SERVICE_UNKNOWN, 404).build()));
     }
