--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -32,6 +33,7 @@
     private final RetryAfterEstimate retryAfter;
     private final TimeSource time;
     private final InvariantMonitor invariants;
+    private long arrivals;
     private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
     ServiceDispatcher(
@@ -83,6 +85,21 @@
         lock.run(() -> workers.observePace(workerName, gapMillis));
     }
 
+    /** Takes shares of workers' capacity. */
+    void lease(Map<String, Long> slots, long untilMillis) {
+        lock.run(() -> slots.forEach((worker, count) -> workers.lease(worker, count, untilMillis)));
+        pump();
+    }
+
+    /** Returns the demand since the last call: arrivals and what waits. */
+    long takeDemand() {
+        return lock.call(() -> {
+            long demand = 1 + arrivals + queue.size();
+            arrivals = 0;
+            return demand;
+        });
+    }
+
     List<Upstream> upstreams() {
         return lock.call(workers::upstreams);
     }
@@ -93,7 +110,10 @@
     }
 
     void submit(QueuedRequest request) {
-        List<ServiceQueue.Shed> shed = lock.call(() -> queue.offer(request, time.monotonicMillis()));
+        List<ServiceQueue.Shed> shed = lock.call(() -> {
+            arrivals++;
+            return queue.offer(request, time.monotonicMillis());
+        });
         shed.forEach(ServiceQueue.Shed::answer);
         pump();
     }
