--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/JournalOptions.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/JournalOptions.java
@@ -7,7 +7,7 @@
  * The sizes and times of a sharded journal. Every node of a fleet must have the same number of shards.
  *
  * @param shards the number of journal objects
- * @param writeIntervalMillis the shortest time between two writes of a shard
+ * @param writeIntervalMillis the mean time between two writes of a busy shard; an idle one may write a few at once
  * @param openSegmentBytes the size over which the open segment is sealed
  * @param batchBytes the most that one write adds
  * @param retentionMillis the time for which answers are kept
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/JournalShard.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/JournalShard.java
@@ -25,6 +25,7 @@
 /** One shard at one node: taken over when first needed, written in groups, given up when fenced. */
 public final class JournalShard {
 
+    private static final int BURST_WRITES = 3;
     private static final long RETRY_AFTER_MILLIS = 1_000;
     private static final long BACKOFF_BASE_MILLIS = 200;
     private static final long BACKOFF_CAP_MILLIS = 2_000;
@@ -284,7 +285,10 @@
             lock.run(() -> writing = false);
             return;
         }
-        lock.run(() -> nextCallMillis = time.monotonicMillis() + options.writeIntervalMillis());
+        lock.run(() -> {
+            long earliestMillis = time.monotonicMillis() - BURST_WRITES * options.writeIntervalMillis();
+            nextCallMillis = Math.max(nextCallMillis, earliestMillis) + options.writeIntervalMillis();
+        });
         byte[] records =
                 RecordCodec.encode(batch.stream().map(PendingRecord::content).toList());
         log.append(records, last -> RecordCodec.encode(table.carried(last)))
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationEntry.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationEntry.java
@@ -51,6 +51,30 @@
         this.state = state;
     }
 
+    static OperationEntry of(JournalRecord durable, long segment) {
+        OperationEntry entry = new OperationEntry(durable.key(), durable.attemptId(), Tier.STANDARD, State.IN_DOUBT);
+        entry.segment = segment;
+        entry.outcomeDurable = CompletableFuture.completedFuture(null);
+        if (durable instanceof JournalRecord.Outcome outcome) {
+            entry.state = State.COMPLETED;
+            entry.answer = outcome.answer();
+            entry.recordedAtMillis = outcome.recordedAtMillis();
+        } else if (durable instanceof JournalRecord.Ran ran) {
+            entry.state = State.RAN;
+            entry.recordedAtMillis = ran.recordedAtMillis();
+        }
+        return entry;
+    }
+
+    /** Returns whether its last durable record is the intent. */
+    boolean isUnresolved() {
+        return state != State.PENDING && !(hasRun() && outcomeDurable.isDone());
+    }
+
+    boolean isExpired(long oldestMillis) {
+        return hasRun() && outcomeDurable.isDone() && recordedAtMillis < oldestMillis;
+    }
+
     boolean hasRun() {
         return state == State.COMPLETED || state == State.RAN;
     }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/OperationTable.java
@@ -13,10 +13,7 @@
 import io.lagoonseam.core.operation.internal.OperationEntry.State;
 import io.lagoonseam.core.operation.internal.OperationEntry.Waiter;
 import io.lagoonseam.core.time.TimeSource;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +29,6 @@
 public final class OperationTable {
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
-    private static final int RECORD_OVERHEAD_BYTES = 64;
     private static final BeginResult.Unavailable UNAVAILABLE = new BeginResult.Unavailable(RETRY_AFTER_MILLIS);
 
     private record Binding(String workspace, String key) {
@@ -43,8 +39,7 @@
 
     private final RankedLock lock = new RankedLock(LockRank.JOURNAL);
     private final Map<Binding, OperationEntry> entries = new HashMap<>();
-    private final Deque<PendingRecord> outcomes = new ArrayDeque<>();
-    private final Map<Tier, Deque<PendingRecord>> intents = new EnumMap<>(Tier.class);
+    private final PendingQueue pending = new PendingQueue();
     private final TimeSource time;
     private final InvariantMonitor invariants;
     private final JournalOptions options;
@@ -60,9 +55,6 @@
         this.time = time;
         this.invariants = invariants;
         this.options = options;
-        for (Tier tier : Tier.values()) {
-            intents.put(tier, new ArrayDeque<>());
-        }
     }
 
     /** Changes the table under its lock, then tells those who waited. */
@@ -97,7 +89,7 @@
                     new OperationEntry(request.key(), request.attemptId(), request.tier(), State.PENDING);
             created.waiters.add(waiter);
             entries.put(binding, created);
-            intents.get(request.tier()).add(pending(new JournalRecord.Intent(request.key(), request.attemptId())));
+            pending.addIntent(request.tier(), pending(new JournalRecord.Intent(request.key(), request.attemptId())));
             return Optional.empty();
         }
         return decideKnown(entry, waiter, request.key());
@@ -127,9 +119,7 @@
     }
 
     private boolean isExpired(OperationEntry entry) {
-        long retentionMillis = options.retentionMillis().getAsLong();
-        boolean durable = entry.outcomeDurable == null || entry.outcomeDurable.isDone();
-        return entry.hasRun() && durable && entry.recordedAtMillis + retentionMillis < time.wallMillis();
+        return entry.isExpired(time.wallMillis() - options.retentionMillis().getAsLong());
     }
 
     /**
@@ -150,7 +140,7 @@
             boolean own = entry.state == State.PENDING && entry.attemptId.equals(request.attemptId());
             notices.add(answer, own ? UNAVAILABLE : new BeginResult.InDoubt());
             if (own && !entry.taken) {
-                intents.get(entry.tier).removeIf(item -> item.content().key().equals(entry.key));
+                pending.removeIntent(entry);
                 discard(entry, notices);
             }
             return null;
@@ -214,7 +204,7 @@
                 : new JournalRecord.Ran(entry.key, entry.attemptId, entry.recordedAtMillis);
         PendingRecord pending = pending(content);
         entry.outcomeDurable = pending.durable();
-        outcomes.add(pending);
+        this.pending.addOutcome(pending);
         entry.takeWaiters().forEach(waiter -> notices.add(waiter.answer(), entry.outcome()));
     }
 
@@ -233,10 +223,7 @@
             if (!held) {
                 return CompletableFuture.completedFuture(null);
             }
-            if (entry.state == State.PENDING) {
-                return withdrawPending(entry, notices);
-            }
-            return withdrawDurable(entry, notices);
+            return entry.state == State.PENDING ? withdrawPending(entry, notices) : withdrawDurable(entry, notices);
         });
     }
 
@@ -244,7 +231,7 @@
         if (entry.taken) {
             entry.waiters.removeIf(waiter -> waiter.attemptId().equals(entry.attemptId));
         } else {
-            intents.get(entry.tier).removeIf(item -> item.content().key().equals(entry.key));
+            pending.removeIntent(entry);
             discard(entry, notices);
         }
         return CompletableFuture.completedFuture(null);
@@ -252,7 +239,7 @@
 
     private CompletionStage<Void> withdrawDurable(OperationEntry entry, Notices notices) {
         PendingRecord pending = pending(new JournalRecord.Withdrawal(entry.key, entry.attemptId));
-        outcomes.add(pending);
+        this.pending.addOutcome(pending);
         discard(entry, notices);
         return pending.durable();
     }
@@ -276,17 +263,13 @@
     }
 
     boolean hasPending() {
-        return lock.call(() -> !outcomes.isEmpty() || intents.values().stream().anyMatch(queue -> !queue.isEmpty()));
+        return lock.call(() -> !pending.isEmpty());
     }
 
     /** Takes what the next write is to hold. */
     List<PendingRecord> takeBatch() {
         return lock.call(() -> {
-            List<PendingRecord> batch = new ArrayList<>();
-            int room = drain(outcomes, batch, options.batchBytes());
-            for (Deque<PendingRecord> queue : intents.values()) {
-                room = drain(queue, batch, room);
-            }
+            List<PendingRecord> batch = pending.take(options.batchBytes());
             batch.stream().filter(PendingRecord::isIntent).forEach(item -> entryOf(item).taken = true);
             return batch;
         });
@@ -296,28 +279,6 @@
         return entries.get(Binding.of(item.content().key()));
     }
 
-    private static int drain(Deque<PendingRecord> queue, List<PendingRecord> batch, int room) {
-        int left = room;
-        while (left > 0 && !queue.isEmpty()) {
-            PendingRecord next = queue.poll();
-            batch.add(next);
-            left -= sizeBytes(next.content());
-        }
-        return left;
-    }
-
-    private static int sizeBytes(JournalRecord content) {
-        OperationKey key = content.key();
-        int answerBytes = content instanceof JournalRecord.Outcome outcome
-                ? outcome.answer().body().length()
-                : 0;
-        return RECORD_OVERHEAD_BYTES
-                + key.key().length()
-                + key.workspace().length()
-                + key.requestDigest().length()
-                + answerBytes;
-    }
-
     /** Takes note that a batch is durable. */
     void appended(List<PendingRecord> batch, long segment) {
         Notices notices = new Notices();
@@ -345,7 +306,7 @@
                 .filter(waiter -> waiter.attemptId().equals(entry.attemptId))
                 .findFirst();
         if (own.isEmpty()) {
-            outcomes.add(pending(
+            pending.addOutcome(pending(
                     new JournalRecord.Withdrawal(entry.key, item.content().attemptId())));
             discard(entry, notices);
             return;
@@ -369,7 +330,7 @@
             for (int index = batch.size() - 1; index >= 0; index--) {
                 PendingRecord item = batch.get(index);
                 if (!item.isIntent()) {
-                    outcomes.addFirst(item);
+                    pending.putBack(item);
                 } else if (entryOf(item).state == State.PENDING) {
                     discard(entryOf(item), notices);
                 }
@@ -383,9 +344,7 @@
         Notices notices = new Notices();
         List<PendingRecord> failed = new ArrayList<>(batch);
         change(notices, () -> {
-            failed.addAll(outcomes);
-            outcomes.clear();
-            intents.values().forEach(Deque::clear);
+            failed.addAll(pending.clear());
             for (OperationEntry entry : entries.values()) {
                 BeginResult word =
                         entry.state == State.PENDING ? BeginResult.Unavailable.MOVED : new BeginResult.InDoubt();
@@ -416,18 +375,7 @@
         if (item instanceof JournalRecord.Intent && repeated) {
             return;
         }
-        OperationEntry entry = new OperationEntry(item.key(), item.attemptId(), Tier.STANDARD, State.IN_DOUBT);
-        entry.segment = segment;
-        entry.outcomeDurable = CompletableFuture.completedFuture(null);
-        if (item instanceof JournalRecord.Outcome outcome) {
-            entry.state = State.COMPLETED;
-            entry.answer = outcome.answer();
-            entry.recordedAtMillis = outcome.recordedAtMillis();
-        } else if (item instanceof JournalRecord.Ran ran) {
-            entry.state = State.RAN;
-            entry.recordedAtMillis = ran.recordedAtMillis();
-        }
-        entries.put(binding, entry);
+        entries.put(binding, OperationEntry.of(item, segment));
     }
 
     /** Returns the intents that must outlive the segments up to a number, and forgets what expired with them. */
@@ -436,9 +384,7 @@
             List<JournalRecord> carried = new ArrayList<>();
             entries.values().removeIf(this::isExpired);
             for (OperationEntry entry : entries.values()) {
-                boolean durable = entry.outcomeDurable != null && entry.outcomeDurable.isDone();
-                boolean unresolved = entry.state != State.PENDING && !(entry.hasRun() && durable);
-                if (unresolved && entry.segment <= lastSegment) {
+                if (entry.isUnresolved() && entry.segment <= lastSegment) {
                     carried.add(new JournalRecord.Intent(entry.key, entry.attemptId));
                 }
             }
@@ -450,13 +396,4 @@
     Optional<State> stateOf(OperationKey key) {
         return lock.call(() -> Optional.ofNullable(entries.get(Binding.of(key))).map(entry -> entry.state));
     }
-
-    /**
-     * Returns the number of operations that the table holds.
-     *
-     * @return operations of any state
-     */
-    public int size() {
-        return lock.call(entries::size);
-    }
 }
