--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
@@ -14,11 +15,12 @@
 
     private static final List<Experiment> ALL = List.of(
             new BurstExperiment(),
+            new ChaosExperiment(),
+            new DuplicatesExperiment(),
             new LeaseExperiment(),
+            new OutageExperiment(),
             new PropagationExperiment(),
-            new RouterCostExperiment(),
-            new DuplicatesExperiment(),
-            new OutageExperiment());
+            new RouterCostExperiment());
 
     private Experiments() {}
 
