A change record leaves out differences that are many

Cause: the first file set of 15,000 documents could not be applied: its change record was over the platform's megabyte.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/Change.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/Change.java
@@ -11,7 +11,8 @@
  * @param changedParts the digests of parts that were added or changed, by name
  * @param removedParts the names of parts that were removed
  * @param texts the content of changed parts by digest, where it is small
- * @param differences the documents that differ
+ * @param differences the documents that differ, unless they are left out
+ * @param differencesOmitted whether they are left out since they are many; they follow from the parts, which are kept
  */
 public record Change(
         Manifest manifest,
@@ -19,7 +20,8 @@
         Map<String, String> changedParts,
         List<String> removedParts,
         Map<String, String> texts,
-        List<DocumentDifference> differences) {
+        List<DocumentDifference> differences,
+        boolean differencesOmitted) {
 
     /** Copies the collections. */
     public Change {
@@ -28,4 +30,14 @@
         texts = Map.copyOf(texts);
         differences = List.copyOf(differences);
     }
+
+    /**
+     * Returns this change with its differences.
+     *
+     * @param found the differences
+     * @return the same change, nothing left out
+     */
+    Change withDifferences(List<DocumentDifference> found) {
+        return new Change(manifest, base, changedParts, removedParts, texts, found, false);
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationHistory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationHistory.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -35,7 +37,7 @@
     }
 
     private CompletionStage<List<Change>> collect(String id, int limit, List<Change> collected) {
-        return configurations.change(id).thenCompose(change -> {
+        return configurations.change(id).thenCompose(this::whole).thenCompose(change -> {
             collected.add(change);
             if (change.base() == null || collected.size() >= limit) {
                 return CompletableFuture.completedFuture(collected);
@@ -44,6 +46,38 @@
         });
     }
 
+    /**
+     * Adds the differences to a change that was kept without them.
+     *
+     * @param change the change
+     * @return the change with its differences; completes exceptionally if a part cannot be read
+     */
+    public CompletionStage<Change> whole(Change change) {
+        if (!change.differencesOmitted()) {
+            return CompletableFuture.completedFuture(change);
+        }
+        return replacedParts(change)
+                .thenCombine(
+                        configurations.parts(change.changedParts()),
+                        (before, after) -> change.withDifferences(FileSetDifference.between(before, after)));
+    }
+
+    private CompletionStage<List<SourceFile>> replacedParts(Change change) {
+        if (change.base() == null) {
+            return CompletableFuture.completedFuture(List.of());
+        }
+        return configurations
+                .change(change.base().id())
+                .thenCompose(base -> configurations.listing(base.manifest()))
+                .thenCompose(listing -> {
+                    Map<String, String> replaced = new TreeMap<>(listing.digests());
+                    replaced.keySet()
+                            .removeIf(name -> !change.changedParts().containsKey(name)
+                                    && !change.removedParts().contains(name));
+                    return configurations.parts(replaced);
+                });
+    }
+
     /**
      * Finds the accepted change of a generation.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
@@ -105,13 +105,19 @@
         });
         TreeSet<String> removed = new TreeSet<>(base.listing().digests().keySet());
         removed.removeAll(parts.listing().digests().keySet());
+        List<DocumentDifference> differences = FileSetDifference.between(replaced, fresh);
+        boolean isInlined = differences.stream()
+                        .mapToInt(difference -> difference.toString().length())
+                        .sum()
+                <= INLINE_LIMIT_BYTES;
         Change change = new Change(
                 manifest,
                 base.current().map(value -> value.manifest().link()).orElse(null),
                 changed,
                 List.copyOf(removed),
                 size(texts) <= INLINE_LIMIT_BYTES ? texts : Map.of(),
-                FileSetDifference.between(replaced, fresh));
+                isInlined ? differences : List.of(),
+                !isInlined);
         if (manifest.changesSince().isEmpty()) {
             texts.put(manifest.checkpoint().digest(), parts.listing().encode());
         }
@@ -241,8 +247,11 @@
         }
         return configurations
                 .change(accepted.id())
-                .thenApply(winner -> new ApplyResult.Conflicted(
-                        accepted, clashes(prepared.change().differences(), winner.differences())));
+                .thenCompose(history::whole)
+                .thenCombine(
+                        history.whole(prepared.change()),
+                        (winner, own) ->
+                                new ApplyResult.Conflicted(accepted, clashes(own.differences(), winner.differences())));
     }
 
     private static List<String> clashes(List<DocumentDifference> own, List<DocumentDifference> others) {
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/PropagationFuzzTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/PropagationFuzzTest.java
@@ -7,6 +7,7 @@
 import io.lagoonseam.core.audit.NoopEventSink;
 import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
 import io.lagoonseam.core.configuration.FileSet;
+import io.lagoonseam.core.configuration.RelayOrder;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.platform.FakeObjectStore;
@@ -30,6 +31,8 @@
     private static final int DATA_CENTRES = 2;
     private static final int NODES_EACH = 7;
     private static final int STEPS = 60;
+    private static final long TARGET_MILLIS = 4_000;
+    private static final long NEW_NODE_MILLIS = 5_000;
     private static final long HEAL_MILLIS = 30_000;
 
     private static final class Node {
@@ -40,6 +43,7 @@
         private final ActiveConfiguration active = new ActiveConfiguration(invariants);
         private final ConfigurationFollower follower;
         private final long acceptedAtStart;
+        private final long startedAtMillis;
         private long highest;
 
         private Node(String nodeId, FakeDirectory directory, FaultyStore store, Fleet fleet) {
@@ -47,6 +51,7 @@
             this.directory = directory;
             this.store = store;
             this.acceptedAtStart = fleet.accepted.size();
+            this.startedAtMillis = fleet.time.wallMillis();
             FollowerEnvironment environment = new FollowerEnvironment(
                     store,
                     fleet.network.open(nodeId),
@@ -59,6 +64,11 @@
             this.follower = new ConfigurationFollower(environment, active, fileSet -> {});
         }
 
+        private boolean isCounted(InForceStatus status, long nowMillis) {
+            String dataCentre = directory.viewOf(nodeId).self().dataCentre();
+            return dataCentre.equals(status.dataCentre()) && nowMillis - startedAtMillis > NEW_NODE_MILLIS;
+        }
+
         private long generation() {
             return active.current().map(value -> value.number()).orElse(0L);
         }
@@ -142,7 +152,7 @@
         }
 
         private void step() {
-            switch (random.nextInt(10)) {
+            switch (random.nextInt(11)) {
                 case 0, 1, 2 -> apply(0);
                 case 3 -> apply(0.4);
                 case 4 -> {
@@ -152,6 +162,7 @@
                 case 5 -> crash(anyNode());
                 case 6 -> anyNode().store.cutOff(random.nextInt(3) > 0);
                 case 7 -> network.cut(anyNode().nodeId, anyNode().nodeId, true);
+                case 9 -> anyNode().store.silent(random.nextBoolean());
                 case 8 -> platform.outage(random.nextInt(3) == 0);
                 default -> nodes.values().forEach(node -> node.store.slow(random.nextInt(300)));
             }
@@ -176,6 +187,7 @@
             network.healAll();
             nodes.values().forEach(node -> {
                 node.store.cutOff(false);
+                node.store.silent(false);
                 node.store.slow(0);
             });
             time.runFor(HEAL_MILLIS);
@@ -286,4 +298,43 @@
             assertEquals(node.generation(), 1);
         }
     }
+
+    @Test(dataProvider = "seeds")
+    public void relaysThatHearNothingMoreAreReplaced(long seed) {
+        Fleet fleet = new Fleet(seed);
+        fleet.apply(0);
+        fleet.time.runFor(10_000);
+        List<Node> relays = fleet.nodes.values().stream()
+                .filter(node -> node.follower.isRelay())
+                .toList();
+        assertEquals(relays.size(), DATA_CENTRES * RelayOrder.RELAYS);
+        relays.forEach(node -> node.store.silent(true));
+        fleet.time.runFor(fleet.random.nextInt(1_000));
+        fleet.apply(0);
+        fleet.time.runFor(TARGET_MILLIS);
+        fleet.nodes.values().forEach(node -> assertEquals(node.generation(), 2, node.nodeId));
+    }
+
+    @Test(dataProvider = "seeds")
+    public void statusOnThePlatformConfirmsOnlyWhatIsInForce(long seed) {
+        Fleet fleet = new Fleet(seed);
+        InForceReader reader = new InForceReader(fleet.platform);
+        int confirmed = 0;
+        for (int round = 0; round < 20; round++) {
+            fleet.apply(0);
+            if (round % 5 == 0) {
+                fleet.crash(fleet.anyNode());
+            }
+            fleet.time.runFor(500 + fleet.random.nextInt(2_500));
+            for (InForceStatus status :
+                    reader.read().toCompletableFuture().join().orElseThrow()) {
+                confirmed += status.missing().isEmpty() ? 1 : 0;
+                fleet.nodes.values().stream()
+                        .filter(node -> node.isCounted(status, fleet.time.wallMillis()))
+                        .forEach(node ->
+                                assertTrue(node.generation() >= status.generation(), node.nodeId + " " + status));
+            }
+        }
+        assertTrue(confirmed > 20, "confirmed " + confirmed);
+    }
 }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/fleet/FaultyStore.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/fleet/FaultyStore.java
@@ -21,6 +21,7 @@
 public final class FaultyStore implements ObjectStore {
 
     private static final long WATCH_STEP_MILLIS = 20;
+    private static final long CLIENT_TIMEOUT_MILLIS = 4_000;
     private static final long LOST_MILLIS = 3_000;
 
     private final FakeObjectStore delegate;
@@ -28,6 +29,7 @@
     private final Random random;
     private final List<Manifest> accepted;
     private boolean cutOff;
+    private boolean silent;
     private double loseShare;
     private long slowMillis;
 
@@ -50,6 +52,11 @@
         cutOff = value;
     }
 
+    /** Lets calls go unanswered until the client's time limit. */
+    public void silent(boolean value) {
+        silent = value;
+    }
+
     public void loseAnswers(double share) {
         loseShare = share;
     }
@@ -64,6 +71,10 @@
 
     private <T> CompletionStage<T> answerLater(CompletionStage<T> answer, T refused) {
         CompletableFuture<T> result = new CompletableFuture<>();
+        if (silent) {
+            time.schedule(CLIENT_TIMEOUT_MILLIS, () -> result.complete(refused));
+            return result;
+        }
         time.schedule(
                 latencyMillis(),
                 () -> result.complete(
@@ -120,6 +131,10 @@
     }
 
     private void poll(String prefix, long after, long leftMillis, CompletableFuture<WatchResult> result) {
+        if (silent) {
+            time.schedule(CLIENT_TIMEOUT_MILLIS, () -> result.complete(new WatchResult.Unavailable("silent")));
+            return;
+        }
         if (cutOff) {
             result.complete(new WatchResult.Unavailable("cut off"));
             return;
