--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,8 +1,11 @@
 package io.lagoonseam.bench.experiment;
 
+import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
+import io.lagoonseam.bench.operation.DuplicatesExperiment;
+import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
 import java.util.List;
 import java.util.Optional;
@@ -11,7 +14,13 @@
 public final class Experiments {
 
     private static final List<Experiment> ALL = List.of(
-            new BurstExperiment(), new LeaseExperiment(), new PropagationExperiment(), new RouterCostExperiment());
+            new BurstExperiment(),
+            new ChaosExperiment(),
+            new DuplicatesExperiment(),
+            new LeaseExperiment(),
+            new OutageExperiment(),
+            new PropagationExperiment(),
+            new RouterCostExperiment());
 
     private Experiments() {}
 
