A first file set of 15,000 workspaces can be applied

Cause: applying one by hand failed twice: the YAML reader's limit of 3 MB a file, and the platform's rate limit outlasting the retries. Change: files to 32 million characters; writes are repeated for some 4 s with a cap of 1 s; the set is split before the platform is asked, not on an event loop.

--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/PlatformSession.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/PlatformSession.java
@@ -15,7 +15,7 @@
 /** A connection to the platform for one command. */
 final class PlatformSession implements AutoCloseable {
 
-    private static final long TIMEOUT_SECONDS = 30;
+    private static final long TIMEOUT_SECONDS = 120;
 
     private final Vertx vertx = Vertx.vertx();
     private final ObjectStore store;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/configuration/ConfigurationWriter.java
@@ -23,8 +23,9 @@
  */
 final class ConfigurationWriter {
 
-    private static final int ATTEMPTS = 6;
+    private static final int ATTEMPTS = 10;
     private static final long RETRY_BASE_MILLIS = 20;
+    private static final long RETRY_CAP_MILLIS = 1_000;
     private static final int PARALLEL_WRITES = 32;
     private static final int CHANGES_PER_CHECKPOINT = 16;
     private static final int INLINE_LIMIT_BYTES = 200_000;
@@ -57,6 +58,7 @@
 
     CompletionStage<ApplyResult> apply(
             List<SourceFile> files, String author, String reason, long nowMillis, Optional<Long> expected) {
+        ConfigurationParts parts = ConfigurationParts.of(files);
         return configurations
                 .current()
                 .thenCompose(current -> {
@@ -65,7 +67,7 @@
                     return expected.isPresent() && expected.get() != generation
                             ? baseMoved(current, files, expected.get())
                             : readBase(current)
-                                    .thenCompose(base -> prepare(base, files, author, reason, nowMillis))
+                                    .thenCompose(base -> prepare(base, parts, author, reason, nowMillis))
                                     .thenCompose(this::write);
                 })
                 .exceptionally(failure -> new ApplyResult.Failed(String.valueOf(failure.getMessage()), false));
@@ -78,8 +80,7 @@
     }
 
     private CompletionStage<Prepared> prepare(
-            Base base, List<SourceFile> files, String author, String reason, long nowMillis) {
-        ConfigurationParts parts = ConfigurationParts.of(files);
+            Base base, ConfigurationParts parts, String author, String reason, long nowMillis) {
         SortedMap<String, String> before = base.listing().digests();
         Map<String, String> changed = new TreeMap<>(parts.listing().digests());
         changed.entrySet().removeAll(before.entrySet());
@@ -192,7 +193,7 @@
     }
 
     private <T> CompletionStage<T> later(int attemptsLeft, Supplier<CompletionStage<T>> action) {
-        long delayMillis = RETRY_BASE_MILLIS << ATTEMPTS - attemptsLeft;
+        long delayMillis = Math.min(RETRY_CAP_MILLIS, RETRY_BASE_MILLIS << ATTEMPTS - attemptsLeft);
         CompletableFuture<Void> due = new CompletableFuture<>();
         timers.schedule(delayMillis, () -> due.complete(null));
         return due.thenCompose(nothing -> action.get());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/yaml/LocatedYamlReader.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/yaml/LocatedYamlReader.java
@@ -15,13 +15,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.yaml.snakeyaml.LoaderOptions;
 
 /** Reads YAML text into documents that remember their lines. */
 public final class LocatedYamlReader {
 
+    private static final int FILE_LIMIT_CHARS = 32 * 1024 * 1024;
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
-    private final YAMLFactory factory = new YAMLFactory();
+    private final YAMLFactory factory = newFactory();
+
+    private static YAMLFactory newFactory() {
+        LoaderOptions options = new LoaderOptions();
+        options.setCodePointLimit(FILE_LIMIT_CHARS);
+        return YAMLFactory.builder().loaderOptions(options).build();
+    }
 
     /**
      * Reads all documents of a text.
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/FileSetReaderTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/configuration/FileSetReaderTest.java
@@ -72,6 +72,15 @@
             assertTrue(errors.get(0).line() > 0);
         }
 
+        @Test
+        public void readsAFileOfFourMegabytes() {
+            String limits = "kind: Limits\nname: a\nrequestsPerSecond: 1\ntokensPerSecond: 1\nconcurrency: 1\n";
+            String comment = "# " + "c".repeat(998) + "\n";
+            ConfigurationErrorReporter reporter = new ConfigurationErrorReporter();
+            List<SourceFile> files = List.of(new SourceFile("a.yaml", limits + comment.repeat(4_000)));
+            assertTrue(new FileSetReader().read(files, reporter).isPresent(), "errors " + reporter.errors());
+        }
+
         @Test
         public void reportsNamesThatStandTwice() {
             String model = "kind: Limits\nname: a\nrequestsPerSecond: 1\ntokensPerSecond: 1\nconcurrency: 1\n";
