--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -53,6 +53,12 @@
     WORKSPACE_OVER_LIMIT(304, EventLevel.INFO, "The workspace is over its limit"),
     /** The deadline passed in the queue. */
     DEADLINE_PASSED(305, EventLevel.WARNING, "The deadline passed while the request was queued"),
+    /** A queued request reached the longest wait of its class. */
+    LONGEST_WAIT_PASSED(306, EventLevel.WARNING, "The longest wait of the class passed while the request was queued"),
+    /** A workspace that held most places of a queue gave one up. */
+    SHED_FOR_FAIR_SHARE(307, EventLevel.WARNING, "The request was shed for another workspace's fair share"),
+    /** The home node of a workspace's limits does not answer. */
+    LIMIT_HOME_SILENT(308, EventLevel.WARNING, "The node that shares out a workspace's limits does not answer"),
 
     /** No upstream can take the request. */
     NO_UPSTREAM(401, EventLevel.WARNING, "No upstream of the service can take the request"),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/AbstractRequestRunner.java
@@ -4,14 +4,19 @@
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
+import io.lagoonseam.core.routing.AttemptResult;
+import io.lagoonseam.core.routing.PromptPrefix;
+import io.lagoonseam.core.routing.RoutingRequest;
 import io.lagoonseam.core.routing.WorkerState;
 import io.lagoonseam.core.verdict.Refusal;
 import io.lagoonseam.core.verdict.Verdict;
 import io.lagoonseam.entry.upstream.AttemptFailure;
 import io.vertx.core.Context;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * The way of one request: queued, run on a worker, perhaps tried again, and ended exactly once. State changes happen on
@@ -20,16 +25,28 @@
 abstract class AbstractRequestRunner implements QueuedRequest, CancellableRequest {
 
     private static final int BAD_GATEWAY = 502;
+    private static final int FIRST_PROGRESS_TOKENS = 16;
+
+    /** Whether the request counts against the limits of its workspace. */
+    private enum LimitPlace {
+        NOT_HELD,
+        HELD,
+        GIVEN_BACK
+    }
+
     private static final int UNAVAILABLE = 503;
-    private static final long RETRY_AFTER_FAILURE_MILLIS = 1_000;
 
     private final Dispatcher dispatcher;
     private final Ticket ticket;
     private final Context context;
     private final AnswerSink sink;
     private final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
+    private final ServiceRecovery recovery;
+    private final AtomicReference<LimitPlace> limitPlace = new AtomicReference<>(LimitPlace.NOT_HELD);
     private final RequestExplainer explainer;
     private Upstream worker;
+    private AttemptResult attemptResult = AttemptResult.NEUTRAL;
+    private int failures;
     private boolean sent;
     private boolean ended;
 
@@ -38,11 +55,22 @@
         this.ticket = ticket;
         this.context = context;
         this.sink = sink;
+        this.recovery = dispatcher.recovery(ticket.requestClass().service());
         this.explainer = new RequestExplainer(dispatcher.trail(), ticket, dispatcher.time());
         explainer.classified();
         dispatcher.started(this);
     }
 
+    /** Returns the leading blocks of the prompt. */
+    PromptPrefix prefix() {
+        return PromptPrefix.EMPTY;
+    }
+
+    /** Returns the tokens that the caller has. */
+    int deliveredTokens() {
+        return 0;
+    }
+
     /** Runs one attempt on the caller's context. */
     abstract void attempt(Upstream chosen);
 
@@ -60,8 +88,8 @@
     }
 
     @Override
-    public final Set<String> excludedWorkers() {
-        return excludedWorkers;
+    public final RoutingRequest routing() {
+        return new RoutingRequest(ticket.requestClass().tier(), prefix(), Set.copyOf(excludedWorkers));
     }
 
     @Override
@@ -85,15 +113,30 @@
         return ended;
     }
 
-    final boolean wasSent() {
+    @Override
+    public final boolean wasSent() {
         return sent;
     }
 
     final void submit() {
+        long nowMillis = dispatcher.time().monotonicMillis();
+        Optional<Refusal> overLimit = dispatcher.limiter().tryAcquire(ticket.workspace(), nowMillis);
+        if (overLimit.isPresent()) {
+            refuse(overLimit.get());
+            return;
+        }
+        if (!limitPlace.compareAndSet(LimitPlace.NOT_HELD, LimitPlace.HELD)) {
+            dispatcher.limiter().release(ticket.workspace(), 0, nowMillis);
+            return;
+        }
         service().submit(this);
     }
 
-    private ServiceDispatcher service() {
+    final ServiceRecovery recovery() {
+        return recovery;
+    }
+
+    final ServiceDispatcher service() {
         return dispatcher.service(ticket.requestClass().service());
     }
 
@@ -101,10 +144,14 @@
     public final void start(Upstream chosen) {
         context.runOnContext(nothing -> {
             if (ended) {
-                dispatcher.decide(() -> service().release(chosen));
+                dispatcher.decide(() -> {
+                    service().finished(ticket.id(), 0, false);
+                    service().release(chosen, AttemptResult.NEUTRAL);
+                });
                 return;
             }
             worker = chosen;
+            attemptResult = AttemptResult.NEUTRAL;
             explainer.attempt(chosen.name());
             dispatcher.newWork().sending(chosen.name());
             attempt(chosen);
@@ -113,7 +160,15 @@
 
     @Override
     public final void refuse(Refusal refusal) {
-        context.runOnContext(nothing -> endWithRefusal(refusal));
+        context.runOnContext(nothing -> endWithRefusal(sent ? afterSending(refusal) : refusal));
+    }
+
+    private static Refusal afterSending(Refusal refusal) {
+        Refusal.Builder builder = Refusal.builder(refusal.event(), refusal.httpStatus())
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .message(refusal.message());
+        refusal.retryAfterMillis().ifPresent(builder::retryAfterMillis);
+        return builder.build();
     }
 
     @Override
@@ -121,7 +176,7 @@
         if (ended) {
             return;
         }
-        markEnded();
+        markEnded(0, false);
         dispatcher.record(EventCode.CALLER_GONE, ticket.id());
         explainer.callerGone();
         dispatcher.decide(() -> service().cancel(ticket.id()));
@@ -129,6 +184,9 @@
             abandonAttempt(worker);
             releaseWorker();
         }
+        if (deliveredTokens() > 0) {
+            dispatcher.metrics().wasted("callerGone", deliveredTokens());
+        }
     }
 
     /** Ends the request because the node stops now; what was sent may have run. */
@@ -141,7 +199,7 @@
             dispatcher.decide(() -> service().cancel(ticket.id()));
             endWithRefusal(Refusal.builder(EventCode.STOP_DEADLINE_PASSED, UNAVAILABLE)
                     .verdict(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN)
-                    .retryAfterMillis(RETRY_AFTER_FAILURE_MILLIS)
+                    .retryAfterMillis(service().retryAfterMillis())
                     .build());
             if (held != null) {
                 abandonAttempt(held);
@@ -155,29 +213,66 @@
         sent = true;
     }
 
+    /** Corrects the expected length of the answer, ever more rarely as it grows. */
+    final void noteProgress(int tokens) {
+        if (tokens >= FIRST_PROGRESS_TOKENS && Integer.bitCount(tokens) == 1) {
+            dispatcher.decide(() -> service().progressed(ticket.id(), tokens));
+        }
+    }
+
     final void releaseWorker() {
         Upstream held = worker;
         worker = null;
+        AttemptResult result = attemptResult;
         if (held != null) {
-            dispatcher.decide(() -> service().release(held));
+            dispatcher.decide(() -> service().release(held, result));
         }
     }
 
+    /** Goes on with an attempt that was made beside the first one. */
+    final void replaceWorker(Upstream other) {
+        releaseWorker();
+        worker = other;
+        attemptResult = AttemptResult.NEUTRAL;
+    }
+
     /** Queues the request again, for another worker if there is one. */
     final void tryAnotherWorker() {
         excludedWorkers.add(worker.name());
         releaseWorker();
-        dispatcher.decide(this::submit);
+        long delayMillis = recovery.backoff().delayMillis(failures++);
+        context.owner().setTimer(Math.max(1, delayMillis), timer -> {
+            if (!ended) {
+                dispatcher.decide(() -> service().resubmit(this));
+            }
+        });
     }
 
-    final boolean mayTryAgain(AttemptFailure failure) {
+    private static AttemptResult resultOf(AttemptFailure failure) {
+        return switch (failure.event()) {
+            case CONNECT_FAILED -> AttemptResult.UNREACHABLE;
+            case ANSWER_MISMATCHED -> AttemptResult.MISMATCHED;
+            case CONNECTION_BROKEN, UPSTREAM_ERROR -> AttemptResult.FAILED;
+            default -> AttemptResult.NEUTRAL;
+        };
+    }
+
+    final void noteFailure(AttemptFailure failure) {
         explainer.failed(failure);
-        boolean safe = ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
-        if (!safe) {
-            return false;
-        }
-        boolean allowed =
-                dispatcher.retryBudget(ticket.requestClass().service()).tryAcquire();
+        attemptResult = resultOf(failure);
+    }
+
+    final boolean mayTryAgain(AttemptFailure failure) {
+        noteFailure(failure);
+        return safeToRepeat(failure) && acquireExtraAttempt();
+    }
+
+    final boolean safeToRepeat(AttemptFailure failure) {
+        return ticket.requestClass().idempotent() || failure.verdict().permitsRetryOfNonIdempotent() && !sent;
+    }
+
+    final boolean acquireExtraAttempt() {
+        boolean allowed = recovery.budget().tryAcquire();
         if (!allowed) {
             dispatcher.record(
                     EventCode.RETRY_BUDGET_SPENT, ticket.requestClass().service());
@@ -190,7 +285,7 @@
         return Refusal.builder(failure.event(), BAD_GATEWAY)
                 .verdict(verdict)
                 .message(failure.event().summary() + ": " + failure.message())
-                .retryAfterMillis(RETRY_AFTER_FAILURE_MILLIS)
+                .retryAfterMillis(service().retryAfterMillis())
                 .build();
     }
 
@@ -200,8 +295,11 @@
         }
         boolean truthful = refusal.verdict() != Verdict.NOT_RUN || !sent;
         dispatcher.invariants().check(Invariant.NOT_RUN_IS_TRUE, truthful, ticket.id());
-        markEnded();
+        markEnded(0, false);
         releaseWorker();
+        if (deliveredTokens() > 0) {
+            dispatcher.metrics().wasted("refused", deliveredTokens());
+        }
         dispatcher.metrics().refused(ticket, refusal);
         explainer.refused(refusal);
         sink.refused(refusal);
@@ -209,8 +307,10 @@
 
     final void endWithAnswer(long firstTokenMillis, int tokens) {
         String workerName = worker == null ? BoundedNames.OTHER : worker.name();
-        markEnded();
+        markEnded(tokens, true);
+        attemptResult = AttemptResult.SUCCEEDED;
         releaseWorker();
+        recovery.budget().recordSuccess();
         explainer.answered(tokens);
         long totalMillis = dispatcher.time().monotonicMillis() - ticket.arrivalMillis();
         dispatcher
@@ -225,8 +325,16 @@
                         tokens));
     }
 
-    private void markEnded() {
+    private void markEnded(int tokens, boolean whole) {
         ended = true;
+        int generated = Math.max(tokens, deliveredTokens());
+        dispatcher.decide(() -> {
+            service().finished(ticket.id(), tokens, whole);
+            if (limitPlace.getAndSet(LimitPlace.GIVEN_BACK) == LimitPlace.HELD) {
+                long nowMillis = dispatcher.time().monotonicMillis();
+                dispatcher.limiter().release(ticket.workspace(), generated, nowMillis);
+            }
+        });
         dispatcher.ended(this);
         dispatcher.finished();
         afterEnd();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/ServiceDispatcher.java
@@ -1,212 +1,177 @@
 package io.lagoonseam.entry.dispatch;
 
 import io.lagoonseam.core.admission.AdmissionController;
-import io.lagoonseam.core.admission.OfferResult;
-import io.lagoonseam.core.admission.ShedTicket;
-import io.lagoonseam.core.admission.Ticket;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.configuration.Upstream;
 import io.lagoonseam.core.invariant.Invariant;
 import io.lagoonseam.core.invariant.InvariantMonitor;
 import io.lagoonseam.core.lock.LockRank;
 import io.lagoonseam.core.lock.RankedLock;
-import io.lagoonseam.core.routing.WorkerSelector;
-import io.lagoonseam.core.routing.WorkerState;
+import io.lagoonseam.core.retry.RetryAfterEstimate;
+import io.lagoonseam.core.routing.AttemptResult;
+import io.lagoonseam.core.routing.CacheEvent;
+import io.lagoonseam.core.routing.RoutingRequest;
+import io.lagoonseam.core.routing.WorkerTable;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.core.verdict.Refusal;
+import io.lagoonseam.entry.upstream.LoadReport;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /** The queue and the workers of one service, under one lock. */
 final class ServiceDispatcher {
 
+    private static final long INITIAL_RETRY_AFTER_MILLIS = 1_000;
+
     private final RankedLock lock = new RankedLock(LockRank.SERVICE);
-    private final AdmissionController admission;
-    private final Map<String, QueuedRequest> waiting = new HashMap<>();
-    private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
-    private final WorkerSelector selector;
+    private final ServiceQueue queue;
+    private final WorkerTable workers;
+    private final RetryAfterEstimate retryAfter;
     private final TimeSource time;
     private final InvariantMonitor invariants;
-    private final RouterMetrics metrics;
+    private volatile long retryAfterMillis = INITIAL_RETRY_AFTER_MILLIS;
 
     ServiceDispatcher(
             AdmissionController admission,
-            WorkerSelector selector,
+            WorkerTable workers,
             TimeSource time,
             InvariantMonitor invariants,
             RouterMetrics metrics) {
-        this.metrics = metrics;
-        this.admission = admission;
-        this.selector = selector;
+        this.queue = new ServiceQueue(admission, invariants, metrics);
+        this.workers = workers;
+        this.retryAfter = new RetryAfterEstimate(time);
         this.time = time;
         this.invariants = invariants;
     }
 
-    private static final class WorkerEntry {
-        private Upstream upstream;
-        private int inFlight;
-        private double reportedWaiting;
-        private long reportedAtMillis;
-        private boolean leaving;
-        private boolean configured = true;
-
-        private WorkerEntry(Upstream upstream) {
-            this.upstream = upstream;
-        }
-
-        private WorkerState state(long nowMillis) {
-            return new WorkerState(
-                    upstream.name(), inFlight, upstream.concurrency(), reportedWaiting, nowMillis - reportedAtMillis);
-        }
-    }
-
     private record Assignment(QueuedRequest request, Upstream worker) {}
 
     void configure(Collection<Upstream> upstreams) {
-        lock.run(() -> {
-            workers.values().forEach(worker -> worker.configured = false);
-            for (Upstream upstream : upstreams) {
-                WorkerEntry worker = workers.computeIfAbsent(upstream.name(), name -> new WorkerEntry(upstream));
-                worker.upstream = upstream;
-                worker.configured = true;
-            }
-            workers.values().removeIf(worker -> !worker.configured && worker.inFlight == 0);
-        });
+        lock.run(() -> workers.configure(upstreams));
         pump();
     }
 
     void markLeaving(Set<String> names) {
-        lock.run(() -> workers.values().forEach(worker -> worker.leaving = names.contains(worker.upstream.name())));
+        lock.run(() -> workers.markLeaving(names));
         pump();
     }
 
-    void report(String workerName, int waitingCount) {
-        lock.run(() -> {
-            WorkerEntry worker = workers.get(workerName);
-            if (worker != null) {
-                worker.reportedWaiting = waitingCount;
-                worker.reportedAtMillis = time.monotonicMillis();
-            }
-        });
+    void report(String workerName, LoadReport report) {
+        lock.run(() -> workers.report(workerName, report.running(), report.waiting()));
+    }
+
+    void cacheEvents(String workerName, List<CacheEvent> events) {
+        lock.run(() -> events.forEach(event -> workers.cacheEvent(workerName, event)));
+    }
+
+    long lastCacheEvent(String workerName) {
+        return lock.call(() -> workers.lastCacheEvent(workerName));
+    }
+
+    void observePace(String workerName, double gapMillis) {
+        lock.run(() -> workers.observePace(workerName, gapMillis));
     }
 
     List<Upstream> upstreams() {
-        return lock.call(() -> workers.values().stream()
-                .filter(worker -> worker.configured)
-                .map(worker -> worker.upstream)
-                .toList());
+        return lock.call(workers::upstreams);
+    }
+
+    /** Returns when a refused caller should come back, from the measured pace of answers. */
+    long retryAfterMillis() {
+        return retryAfterMillis;
     }
 
     void submit(QueuedRequest request) {
-        Optional<Refusal> refusal = lock.call(() -> {
-            OfferResult result = admission.offer(request.ticket());
-            if (result instanceof OfferResult.Refused refused) {
-                return Optional.of(refused.refusal());
-            }
-            waiting.put(request.ticket().id(), request);
-            return Optional.empty();
-        });
-        refusal.ifPresent(request::refuse);
+        List<ServiceQueue.Shed> shed = lock.call(() -> queue.offer(request, time.monotonicMillis()));
+        shed.forEach(ServiceQueue.Shed::answer);
         pump();
     }
 
+    /** Corrects what a running request is expected to cost. */
+    void progressed(String id, int tokens) {
+        lock.run(() -> queue.progressed(id, tokens));
+    }
+
+    /** Ends a running request. */
+    void finished(String id, int tokens, boolean whole) {
+        lock.run(() -> queue.finished(id, tokens, whole, time.monotonicMillis()));
+    }
+
     /** Withdraws a request whose caller has gone; returns whether it was still waiting. */
     boolean cancel(String id) {
-        return lock.call(() -> waiting.remove(id) != null && admission.cancel(id));
+        return lock.call(() -> queue.cancel(id));
+    }
+
+    /** Goes on with a request that was admitted before: at once if a worker has room, otherwise through the queue. */
+    void resubmit(QueuedRequest request) {
+        Optional<Upstream> worker = acquire(request.routing(), request::weighed);
+        if (worker.isPresent()) {
+            request.start(worker.get());
+        } else {
+            submit(request);
+        }
+    }
+
+    /** Holds a worker for an attempt outside the queue. */
+    Optional<Upstream> acquire(RoutingRequest request, WorkerTable.WeighingListener listener) {
+        return lock.call(() -> workers.hasRoom() ? take(request, listener) : Optional.empty());
+    }
+
+    private Optional<Upstream> take(RoutingRequest request, WorkerTable.WeighingListener listener) {
+        Optional<Upstream> worker = workers.acquire(request, listener);
+        worker.ifPresent(chosen ->
+                invariants.check(Invariant.LEAVING_GETS_NO_WORK, !workers.isLeaving(chosen.name()), chosen.name()));
+        return worker;
     }
 
-    void release(Upstream upstream) {
+    void release(Upstream upstream, AttemptResult result) {
         lock.run(() -> {
-            WorkerEntry worker = workers.get(upstream.name());
-            if (worker != null) {
-                worker.inFlight--;
-                if (!worker.configured && worker.inFlight == 0) {
-                    workers.remove(upstream.name());
-                }
+            workers.observeResult(upstream.name(), result);
+            workers.release(upstream.name());
+            if (result == AttemptResult.SUCCEEDED) {
+                retryAfter.answered();
             }
         });
         pump();
     }
 
     int waitingCount() {
-        return lock.call(admission::size);
+        return lock.call(queue::size);
     }
 
     /** Refuses what has passed its deadline and starts what has a worker. */
     void pump() {
         List<Assignment> assignments = new ArrayList<>();
-        List<ShedTicket> expired = new ArrayList<>();
-        List<QueuedRequest> expiredRequests = new ArrayList<>();
+        List<ServiceQueue.Shed> expired = new ArrayList<>();
         lock.run(() -> {
             long nowMillis = time.monotonicMillis();
-            expired.addAll(admission.expire(nowMillis));
-            expired.forEach(
-                    shed -> expiredRequests.add(waiting.remove(shed.ticket().id())));
+            expired.addAll(queue.expire(nowMillis));
             assign(nowMillis, assignments);
+            retryAfterMillis = retryAfter.retryAfterMillis(queue.size());
         });
-        for (int index = 0; index < expired.size(); index++) {
-            expiredRequests.get(index).refuse(expired.get(index).refusal());
-        }
+        expired.forEach(ServiceQueue.Shed::answer);
         assignments.forEach(assignment -> assignment.request().start(assignment.worker()));
     }
 
     private void assign(long nowMillis, List<Assignment> assignments) {
-        while (hasRoom()) {
-            Optional<Ticket> next = admission.poll(nowMillis);
+        while (workers.hasRoom()) {
+            Optional<ServiceQueue.Next> next = queue.poll(nowMillis);
             if (next.isEmpty()) {
                 return;
             }
-            QueuedRequest request = waiting.remove(next.get().id());
-            WorkerEntry worker = choose(request, nowMillis);
-            worker.inFlight++;
-            invariants.check(Invariant.LEAVING_GETS_NO_WORK, !worker.leaving, worker.upstream.name());
-            long waitMillis = nowMillis - next.get().arrivalMillis();
-            metrics.started(next.get(), worker.upstream.name(), waitMillis);
-            assignments.add(new Assignment(request, worker.upstream));
+            QueuedRequest request = next.get().request();
+            Upstream worker = take(request.routing(), request::weighed).orElseThrow();
+            queue.started(next.get(), worker.name());
+            assignments.add(new Assignment(request, worker));
         }
     }
 
-    private boolean hasRoom() {
-        return workers.values().stream().anyMatch(ServiceDispatcher::open);
-    }
-
-    private static boolean open(WorkerEntry worker) {
-        return worker.configured && !worker.leaving && worker.inFlight < worker.upstream.concurrency();
-    }
-
-    private WorkerEntry choose(QueuedRequest request, long nowMillis) {
-        List<WorkerState> open = new ArrayList<>();
-        List<WorkerState> untried = new ArrayList<>();
-        for (WorkerEntry worker : workers.values()) {
-            if (open(worker)) {
-                WorkerState state = worker.state(nowMillis);
-                open.add(state);
-                if (!request.excludedWorkers().contains(worker.upstream.name())) {
-                    untried.add(state);
-                }
-            }
-        }
-        List<WorkerState> weighed = untried.isEmpty() ? open : untried;
-        WorkerState chosen = selector.select(weighed).orElseThrow();
-        request.weighed(weighed, chosen.name());
-        return workers.get(chosen.name());
-    }
-
     /** Refuses every waiting request, for a service that was removed. */
     void close() {
-        Set<QueuedRequest> removed = new HashSet<>();
-        lock.run(() -> {
-            removed.addAll(waiting.values());
-            waiting.keySet().forEach(admission::cancel);
-            waiting.clear();
-        });
+        List<QueuedRequest> removed = lock.call(queue::clear);
         removed.forEach(request ->
                 request.refuse(Refusal.builder(EventCode.SERVICE_UNKNOWN, 404).build()));
     }
