--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -1,12 +1,15 @@
 package io.lagoonseam.bench.experiment;
 
 import io.lagoonseam.bench.chaos.ChaosExperiment;
+import io.lagoonseam.bench.cost.EntryCostExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.decision.DecisionCostExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
 import io.lagoonseam.bench.experiment.lease.LeaseExperiment;
 import io.lagoonseam.bench.experiment.routing.RoutingExperiment;
+import io.lagoonseam.bench.membership.MembershipExperiment;
+import io.lagoonseam.bench.membership.RollingExperiment;
 import io.lagoonseam.bench.operation.DuplicatesExperiment;
 import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
@@ -18,18 +21,21 @@
 
     private static final List<Experiment> ALL = List.of(
             new BurstExperiment(),
+            new ChaosExperiment(),
             new DecisionCostExperiment(),
+            new DuplicatesExperiment(),
+            new EntryCostExperiment(),
             FaultExperiment.straggler(),
             FaultExperiment.crash(),
             FaultExperiment.silent(),
             FaultExperiment.crossed(),
-            new RoutingExperiment(),
             new LeaseExperiment(),
-            new ChaosExperiment(),
-            new DuplicatesExperiment(),
+            new MembershipExperiment(),
             new OutageExperiment(),
             new PropagationExperiment(),
-            new RouterCostExperiment());
+            new RollingExperiment(),
+            new RouterCostExperiment(),
+            new RoutingExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -164,14 +164,15 @@
 
     private FollowerEnvironment followerEnvironment() {
         return new FollowerEnvironment(
-                platform,
-                peers.transport(),
-                peers.members(),
-                (delayMillis, task) -> vertx.setTimer(Math.max(1, delayMillis), timer -> task.run()),
-                decisions,
-                time,
-                events,
-                settings.seed());
+                platform, peers.transport(), peers.members(), this::runLater, decisions, time, events, settings.seed());
+    }
+
+    private void runLater(long delayMillis, Runnable task) {
+        vertx.setTimer(Math.max(1, delayMillis), timer -> {
+            if (!decisions.isShutdown()) {
+                task.run();
+            }
+        });
     }
 
     /** Decisions that come after the end of the node are dropped, as a crash would drop them. */
@@ -248,6 +249,15 @@
                 .orElse(Set.of());
     }
 
+    /**
+     * Returns the upstreams that get no new work from this node.
+     *
+     * @return their names
+     */
+    public Set<String> leavingUpstreams() {
+        return upstreamWatch.leavingUpstreams();
+    }
+
     /**
      * Adds a part that hands something over when the node stops.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/upstream/UpstreamClient.java
@@ -194,6 +194,22 @@
         listener.answered(identified.answer());
     }
 
+    /**
+     * Asks a plain service whether an operation ran.
+     *
+     * @param upstream the upstream
+     * @param statusPath where it tells
+     * @param key the idempotency key
+     * @return whether it says that the operation ran; a "no" does not rule out that it will
+     */
+    public Future<Boolean> readRan(Upstream upstream, String statusPath, String key) {
+        String path = statusPath + "/" + URLEncoder.encode(key, StandardCharsets.UTF_8);
+        return client.request(options(HttpMethod.GET, upstream, path))
+                .compose(request -> request.idleTimeout(REPORT_TIMEOUT_MILLIS).send())
+                .compose(HttpClientResponse::body)
+                .map(body -> new JsonObject(body).getBoolean("ran", false));
+    }
+
     /**
      * Reads the events of an engine's prefix cache.
      *
@@ -216,22 +232,6 @@
                 event.getLong("sequence"), event.getInteger("block"), "stored".equals(event.getString("kind")));
     }
 
-    /**
-     * Asks a plain service whether an operation ran.
-     *
-     * @param upstream the upstream
-     * @param statusPath where it tells
-     * @param key the idempotency key
-     * @return whether it says that the operation ran; a "no" does not rule out that it will
-     */
-    public Future<Boolean> readRan(Upstream upstream, String statusPath, String key) {
-        String path = statusPath + "/" + URLEncoder.encode(key, StandardCharsets.UTF_8);
-        return client.request(options(HttpMethod.GET, upstream, path))
-                .compose(request -> request.idleTimeout(REPORT_TIMEOUT_MILLIS).send())
-                .compose(HttpClientResponse::body)
-                .map(body -> new JsonObject(body).getBoolean("ran", false));
-    }
-
     /**
      * Reads an upstream's load report.
      *
