Planning of placement in linear time

Ruled out: the number of steps, which is bounded by the moves allowed.

Change: the engines of a model in a data centre are counted once a round; the experiment stays.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.EntryCostExperiment;
+import io.lagoonseam.bench.cost.PlacementCostExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.decision.DecisionCostExperiment;
@@ -32,6 +33,7 @@
             new LeaseExperiment(),
             new MembershipExperiment(),
             new OutageExperiment(),
+            new PlacementCostExperiment(),
             new PropagationExperiment(),
             new RollingExperiment(),
             new RouterCostExperiment(),
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementPlanner.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementPlanner.java
@@ -36,6 +36,9 @@
         return new Plan(engines, targets, demand).steps();
     }
 
+    /** A model in a data centre. */
+    private record Place(String dataCentre, String model) {}
+
     /** The state of one planning. */
     private final class Plan {
 
@@ -45,6 +48,7 @@
         private final Map<String, Integer> shares;
         private final Map<String, Integer> coming = new HashMap<>();
         private final Map<String, Integer> serving = new HashMap<>();
+        private final Map<Place, Integer> heldByPlace = new HashMap<>();
         private final List<PlannedStep> steps = new ArrayList<>();
         private int moving;
         private int draining;
@@ -60,6 +64,8 @@
         private void count() {
             for (ObservedEngine engine : engines) {
                 Optional<EngineState.HeldModel> held = heldModel(engine);
+                held.ifPresent(model ->
+                        heldByPlace.merge(new Place(engine.upstream().dataCentre(), model.name()), 1, Integer::sum));
                 boolean settled = held.isPresent()
                         && held.get().ready()
                         && !engine.state().draining();
@@ -177,20 +183,14 @@
 
         /** Prefers the data centre in which the model has the fewest engines, then the engine with the least work. */
         private Comparator<ObservedEngine> spread(ModelTarget target) {
-            return Comparator.comparingLong((ObservedEngine engine) -> enginesWith(target, engine))
+            return Comparator.comparingInt((ObservedEngine engine) -> enginesWith(target, engine))
                     .thenComparingInt(engine -> engine.state().running())
                     .thenComparing(engine -> engine.upstream().name());
         }
 
-        private long enginesWith(ModelTarget target, ObservedEngine candidate) {
-            return engines.stream()
-                    .filter(engine -> engine.upstream()
-                            .dataCentre()
-                            .equals(candidate.upstream().dataCentre()))
-                    .filter(engine -> heldModel(engine)
-                            .map(held -> held.name().equals(target.name()))
-                            .orElse(false))
-                    .count();
+        private int enginesWith(ModelTarget target, ObservedEngine candidate) {
+            Place place = new Place(candidate.upstream().dataCentre(), target.name());
+            return heldByPlace.getOrDefault(place, 0);
         }
 
         private boolean isPlanned(ObservedEngine engine) {
