--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/cost/CostBench.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/cost/CostBench.java
@@ -31,6 +31,7 @@
     private static final long TIMEOUT_SECONDS = 30;
     private static final int NODE_LOOPS = 2;
     private static final String NODE_ID = "entry-1";
+    private static final long IDLE_STEP_MILLIS = 1_000;
     private static final int MOST_STREAMS = 1_000;
 
     private final Vertx engineVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -43,11 +44,23 @@
     private EntryNode node;
 
     void start(long seed) throws TimeoutException, InterruptedException {
+        start(seed, 0);
+    }
+
+    /** Starts with further engines, which only report their load. */
+    void start(long seed, int idleEngines) throws TimeoutException, InterruptedException {
         PlatformStandIn platform = new PlatformStandIn(HOST, 0, seed);
-        await(nodeVertx.deployVerticle(platform));
+        await(engineVertx.deployVerticle(platform));
         await(engineVertx.deployVerticle(engine));
+        StringBuilder upstreams = new StringBuilder(fileSet(engine.port()));
+        for (int number = 0; number < idleEngines; number++) {
+            ModelEngineStandIn idle = new ModelEngineStandIn(
+                    EngineOptions.builder().stepMillis(IDLE_STEP_MILLIS).build());
+            await(engineVertx.deployVerticle(idle));
+            upstreams.append(idleUpstream(number, idle.port()));
+        }
         ConfigurationStore store = new ConfigurationStore(new PlatformClient(nodeVertx, platform.url()));
-        List<SourceFile> files = List.of(new SourceFile("all.yaml", fileSet(engine.port())));
+        List<SourceFile> files = List.of(new SourceFile("all.yaml", upstreams.toString()));
         await(Future.fromCompletionStage(store.apply(files, "bench", "start", System.currentTimeMillis())));
         EntrySettings settings = EntrySettings.builder(NODE_ID, "prairie-a", platform.url())
                 .seed(seed)
@@ -102,6 +115,19 @@
         return node.invariants().totalViolations();
     }
 
+    private static String idleUpstream(int number, int port) {
+        return """
+                ---
+                kind: Upstream
+                name: idle-%d
+                service: care-llm
+                host: 127.0.0.1
+                port: %d
+                dataCentre: prairie-a
+                concurrency: 8
+                """.formatted(number, port);
+    }
+
     private static String fileSet(int enginePort) {
         return """
                 kind: ServiceLevel
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.EntryCostExperiment;
+import io.lagoonseam.bench.cost.IdleCostExperiment;
 import io.lagoonseam.bench.cost.PlacementCostExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
@@ -30,6 +31,7 @@
             FaultExperiment.crossed(),
             FaultExperiment.silent(),
             FaultExperiment.straggler(),
+            new IdleCostExperiment(),
             new LeaseExperiment(),
             new MembershipExperiment(),
             new OutageExperiment(),
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/routing/RoutingModel.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/routing/RoutingModel.java
@@ -1,7 +1,7 @@
 package io.lagoonseam.bench.experiment.routing;
 
+import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.routing.PromptPrefix;
-import io.lagoonseam.core.routing.Rendezvous;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/configuration/RelayOrder.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/configuration/RelayOrder.java
@@ -1,12 +1,13 @@
 package io.lagoonseam.core.configuration;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
+import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.membership.Member;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * The order in which the nodes of a data centre take the relay's role, by rendezvous hash, and the tree along which a
@@ -22,7 +23,7 @@
     /** The nodes that may become relays while those before them are cut off. */
     public static final int CANDIDATES = 4;
 
-    private static final Hasher64 HASHER = Hashing.komihash5_0();
+    private static final String ROLE = "configuration";
     private static final int FAN_OUT = 2;
 
     /** Copies the list. */
@@ -37,17 +38,8 @@
      * @return the order, the same at each node that knows the same members
      */
     public static RelayOrder of(List<Member> members) {
-        return new RelayOrder(members.stream()
-                .map(Member::nodeId)
-                .distinct()
-                .sorted(Comparator.comparingLong(RelayOrder::weight)
-                        .reversed()
-                        .thenComparing(Comparator.naturalOrder()))
-                .toList());
-    }
-
-    private static long weight(String nodeId) {
-        return HASHER.hashCharsToLong("configuration/" + nodeId);
+        Set<String> nodeIds = members.stream().map(Member::nodeId).collect(Collectors.toSet());
+        return new RelayOrder(Rendezvous.order(ROLE, nodeIds, Function.identity()));
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/LimitSharing.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/LimitSharing.java
@@ -2,11 +2,11 @@
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.membership.Member;
 import io.lagoonseam.core.membership.MemberDirectory;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
-import io.lagoonseam.core.routing.Rendezvous;
 import io.lagoonseam.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/Rendezvous.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/membership/RoleHolders.java
@@ -1,13 +1,12 @@
 package io.lagoonseam.core.membership;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-import java.util.Comparator;
+import io.lagoonseam.core.hash.Rendezvous;
 import java.util.List;
 
 /** Gives roles to members so that each node finds the same holders, and few roles move when a member comes or goes. */
-public final class Rendezvous {
+public final class RoleHolders {
 
-    private Rendezvous() {}
+    private RoleHolders() {}
 
     /**
      * Finds the holders of a role.
@@ -18,9 +17,7 @@
      * @return the holders, the first one first; fewer if there are not so many members
      */
     public static List<Member> holders(List<Member> members, String role, int count) {
-        return members.stream()
-                .sorted(Comparator.comparingLong((Member member) -> -weight(member, role))
-                        .thenComparing(Member::nodeId))
+        return Rendezvous.order(role, members, Member::nodeId).stream()
                 .limit(count)
                 .toList();
     }
@@ -38,8 +35,4 @@
         return holders(directory.liveMembers(), role, count).stream()
                 .anyMatch(member -> member.nodeId().equals(selfId));
     }
-
-    private static long weight(Member member, String role) {
-        return Hashing.komihash5_0().hashCharsToLong(role + "/" + member.nodeId()) >>> 1;
-    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardRoutes.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/operation/internal/ShardRoutes.java
@@ -2,12 +2,14 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.membership.MemberDirectory;
 import io.lagoonseam.core.operation.OperationKey;
 import io.lagoonseam.core.operation.OwnerClient;
-import java.util.Comparator;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.function.Function;
 
 /** Finds the shard of a key and the node that should own a shard. */
 public final class ShardRoutes {
@@ -82,9 +84,10 @@
         if (known != null) {
             return known;
         }
-        return members.liveMembers().stream()
-                .map(OwnerClient::nameOf)
-                .max(Comparator.comparingLong(name -> HASHER.hashCharsToLong(name + '\n' + shard)))
+        List<String> names =
+                members.liveMembers().stream().map(OwnerClient::nameOf).toList();
+        return Rendezvous.subset("journal/" + shard, names, Function.identity(), 1).stream()
+                .findFirst()
                 .orElse(self());
     }
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/CapacityHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/CapacityHome.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.core.routing;
 
+import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.lock.LockRank;
 import io.lagoonseam.core.lock.RankedLock;
 import io.lagoonseam.core.time.TimeSource;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/PromptPrefix.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/PromptPrefix.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.core.routing;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.lagoonseam.core.hash.Rendezvous;
 
 /** The leading blocks of a prompt, by the ids that engines give them in cache events. */
 public final class PromptPrefix {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/ScoreSelector.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/routing/ScoreSelector.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.core.routing;
 
+import io.lagoonseam.core.hash.Rendezvous;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/routing/PrefixAffinityTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/routing/PrefixAffinityTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.lagoonseam.core.configuration.Tier;
+import io.lagoonseam.core.hash.Rendezvous;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/CapacityExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/dispatch/CapacityExchange.java
@@ -1,13 +1,13 @@
 package io.lagoonseam.entry.dispatch;
 
 import io.lagoonseam.core.configuration.Upstream;
+import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.membership.Member;
 import io.lagoonseam.core.membership.MemberDirectory;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
 import io.lagoonseam.core.routing.CapacityDemand;
 import io.lagoonseam.core.routing.CapacityHome;
-import io.lagoonseam.core.routing.Rendezvous;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.wire.MessageTypes;
 import io.lagoonseam.wire.RoutingMessages.Demand;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/peer/MemberFinder.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/peer/MemberFinder.java
@@ -5,7 +5,7 @@
 import io.lagoonseam.core.membership.DefaultMemberDirectory;
 import io.lagoonseam.core.membership.Member;
 import io.lagoonseam.core.membership.MemberState;
-import io.lagoonseam.core.membership.Rendezvous;
+import io.lagoonseam.core.membership.RoleHolders;
 import io.lagoonseam.core.platform.ListResult;
 import io.lagoonseam.core.platform.ObjectVersion;
 import io.lagoonseam.core.platform.WriteCondition;
@@ -73,7 +73,7 @@
         vertx.setPeriodic(LIST_INTERVAL_MILLIS, timer -> {
             if (!running) {
                 vertx.cancelTimer(timer);
-            } else if (registered && Rendezvous.holds(directory, ROLE, LISTERS)) {
+            } else if (registered && RoleHolders.holds(directory, ROLE, LISTERS)) {
                 look(0);
             }
         });
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/NodePlacement.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/NodePlacement.java
@@ -5,7 +5,7 @@
 import io.lagoonseam.core.configuration.Generation;
 import io.lagoonseam.core.configuration.Model;
 import io.lagoonseam.core.membership.MemberDirectory;
-import io.lagoonseam.core.membership.Rendezvous;
+import io.lagoonseam.core.membership.RoleHolders;
 import io.lagoonseam.core.peer.PeerTransport;
 import io.lagoonseam.core.placement.HeldLease;
 import io.lagoonseam.core.placement.LeaseOptions;
@@ -160,7 +160,7 @@
         }
         for (String service : placedServices()) {
             PlacementController controller = controllers.computeIfAbsent(service, this::newController);
-            boolean candidate = Rendezvous.holds(environment.directory(), "placement/" + service, CANDIDATES);
+            boolean candidate = RoleHolders.holds(environment.directory(), "placement/" + service, CANDIDATES);
             if (candidate || controller.held().isPresent()) {
                 controller.tick();
             }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/UpstreamWatch.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/platform/UpstreamWatch.java
@@ -5,7 +5,7 @@
 import io.lagoonseam.core.membership.LeavingUpstreams;
 import io.lagoonseam.core.membership.Member;
 import io.lagoonseam.core.membership.MemberDirectory;
-import io.lagoonseam.core.membership.Rendezvous;
+import io.lagoonseam.core.membership.RoleHolders;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
 import io.lagoonseam.core.platform.VmEntry;
@@ -82,7 +82,7 @@
 
     /** Reads the VM list if this node is one of its readers; called about once a second. */
     public void tick() {
-        List<Member> readers = Rendezvous.holders(environment.members().liveMembers(), ROLE, READERS);
+        List<Member> readers = RoleHolders.holders(environment.members().liveMembers(), ROLE, READERS);
         leaving.readers(readers.stream().map(Member::nodeId).collect(Collectors.toSet()));
         String selfId = environment.members().self().nodeId();
         boolean reads = readers.stream().anyMatch(reader -> reader.nodeId().equals(selfId));
