One reader of a checked folder, one client of stand-ins

Cause: load read and checked a file set in its own copy of what the config commands do; the fleet called stand-ins beside StandInClient.

Change: load uses CheckedFolder, the fleet uses StandInClient.

Conclusion: behaviour is the same, with 18 lines fewer.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
@@ -22,11 +22,6 @@
 import io.lagoonseam.standin.platform.PlatformStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -57,7 +52,7 @@
     private final Map<String, PlatformLink> links = new TreeMap<>();
     private List<SourceFile> appliedFiles = List.of();
     private int startedNodes;
-    private final HttpClient client;
+    private final StandInClient standIns;
     private PlatformStandIn platform;
     private FileSet fileSet;
 
@@ -66,7 +61,7 @@
         this.engineOptions = engineOptions;
         this.policies = policies;
         this.vertx = vertx;
-        this.client = vertx.createHttpClient();
+        this.standIns = new StandInClient(vertx);
         this.seed = seed;
         this.events = events;
     }
@@ -292,14 +287,10 @@
      * @param state {@code live}, {@code leaving} or {@code gone}
      */
     public void setVm(String upstreamName, String state) {
-        RequestOptions options =
-                new RequestOptions().setMethod(HttpMethod.PUT).setAbsoluteURI(platform.url() + "/vms/" + upstreamName);
         JsonObject vm = new JsonObject()
                 .put("dataCentre", fileSet.upstreams().get(upstreamName).dataCentre())
                 .put("state", state);
-        await(client.request(options)
-                .compose(request -> request.send(vm.toBuffer()))
-                .compose(HttpClientResponse::body));
+        standIns.put(platform.url() + "/vms/" + upstreamName, vm);
     }
 
     /**
@@ -309,13 +300,7 @@
      * @return the counters by name
      */
     public JsonObject counters(String upstreamName) {
-        RequestOptions options = new RequestOptions()
-                .setMethod(HttpMethod.GET)
-                .setAbsoluteURI(standIn(upstreamName).url() + "/counters");
-        return await(client.request(options)
-                .compose(HttpClientRequest::send)
-                .compose(HttpClientResponse::body)
-                .map(JsonObject::new));
+        return standIns.get(standIn(upstreamName).url() + "/counters");
     }
 
     private AbstractStandIn standIn(String upstreamName) {
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/LoadCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/LoadCommand.java
@@ -4,10 +4,8 @@
 import io.lagoonseam.bench.load.LoadRun;
 import io.lagoonseam.bench.traffic.TrafficProfile;
 import io.lagoonseam.bench.traffic.TrafficReport;
-import io.lagoonseam.core.configuration.ConfigurationErrorReporter;
+import io.lagoonseam.cli.config.CheckedFolder;
 import io.lagoonseam.core.configuration.FileSet;
-import io.lagoonseam.entry.configuration.FileSetReader;
-import io.lagoonseam.entry.configuration.SourceFile;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
@@ -51,7 +49,7 @@
         }
         String files =
                 line.getOptionValue("files", profileFile.getParent().getParent().toString());
-        Optional<FileSet> fileSet = readFileSet(Path.of(files), err);
+        Optional<FileSet> fileSet = CheckedFolder.read(Path.of(files), err).map(CheckedFolder::fileSet);
         if (fileSet.isEmpty()) {
             return ExitCode.FAILED;
         }
@@ -64,12 +62,4 @@
         out.println("report in " + folder);
         return report.wrongAnswers() == 0 ? ExitCode.DONE : ExitCode.FAILED;
     }
-
-    private static Optional<FileSet> readFileSet(Path folder, PrintStream err) {
-        ConfigurationErrorReporter reporter = new ConfigurationErrorReporter();
-        List<SourceFile> files = FileSetReader.readFolder(folder, reporter);
-        Optional<FileSet> fileSet = new FileSetReader().read(files, reporter);
-        reporter.errors().forEach(err::println);
-        return fileSet;
-    }
 }
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/CheckedFolder.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/config/CheckedFolder.java
@@ -15,9 +15,16 @@
  * @param files its files
  * @param fileSet what they say
  */
-record CheckedFolder(List<SourceFile> files, FileSet fileSet) {
+public record CheckedFolder(List<SourceFile> files, FileSet fileSet) {
 
-    static Optional<CheckedFolder> read(Path folder, PrintStream err) {
+    /**
+     * Reads a folder and prints every fault.
+     *
+     * @param folder the folder
+     * @param err where the faults go
+     * @return the folder's files and what they say, or empty if there was any fault
+     */
+    public static Optional<CheckedFolder> read(Path folder, PrintStream err) {
         ConfigurationErrorReporter reporter = new ConfigurationErrorReporter();
         List<SourceFile> files = FileSetReader.readFolder(folder, reporter);
         Optional<FileSet> fileSet = new FileSetReader().read(files, reporter);
