--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -27,6 +27,7 @@
 
     private static final String PROGRAM = "lagoonseam";
     private static final List<Command> COMMANDS = List.of(
+            new NodeCommand(),
             new EntryCommand(),
             new ConfigValidateCommand(),
             new ConfigApplyCommand(),
--- /dev/null
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
@@ -0,0 +1,96 @@
+package io.lagoonseam.cli;
+
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.time.SystemTimeSource;
+import io.lagoonseam.entry.forward.ForwardEnvironment;
+import io.lagoonseam.entry.forward.ForwardNode;
+import io.lagoonseam.entry.forward.NodeSettings;
+import io.lagoonseam.entry.log.TinylogEventSink;
+import io.lagoonseam.entry.settings.ListenAddress;
+import io.lagoonseam.platform.HeaderProtocol;
+import io.lagoonseam.platform.HttpCollectionStore;
+import io.lagoonseam.platform.JsonRecordDecoder;
+import io.lagoonseam.platform.PlatformSettings;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import sun.misc.Signal;
+
+/** Runs a node on the users' platform until it is told to stop. */
+final class NodeCommand implements Command {
+
+    private static final long START_TIMEOUT_SECONDS = 20;
+
+    @Override
+    public String name() {
+        return "node";
+    }
+
+    @Override
+    public String summary() {
+        return "Run a node on the platform that " + PlatformSettings.FILE_VARIABLE + " describes, until SIGTERM";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommandOptions.of("metrics-port", "PORT", "Where metrics are shown (default nowhere)"));
+    }
+
+    @Override
+    public int run(CommandLine line, PrintStream out, PrintStream err) throws Exception {
+        String file = System.getenv(PlatformSettings.FILE_VARIABLE);
+        if (file == null) {
+            err.println(PlatformSettings.FILE_VARIABLE + " is not set");
+            return ExitCode.WRONG_USE;
+        }
+        List<String> errors = new ArrayList<>();
+        Optional<NodeSettings> settings = PlatformSettings.read(Path.of(file), errors);
+        if (settings.isEmpty()) {
+            errors.forEach(err::println);
+            return ExitCode.WRONG_USE;
+        }
+        String port = line.getOptionValue("metrics-port");
+        return serve(
+                settings.get(),
+                port == null
+                        ? Optional.empty()
+                        : Optional.of(new ListenAddress(settings.get().callers().host(), Integer.parseInt(port))));
+    }
+
+    private static int serve(NodeSettings settings, Optional<ListenAddress> metrics)
+            throws InterruptedException, TimeoutException {
+        Vertx vertx = Vertx.vertx(
+                new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
+        EventSink events = new TinylogEventSink(settings.nodeName());
+        ForwardEnvironment environment = new ForwardEnvironment(
+                vertx, settings, new HeaderProtocol(), new SystemTimeSource(), new Random(), events);
+        CountDownLatch stopped = new CountDownLatch(1);
+        ForwardNode node = new ForwardNode(
+                environment, new HttpCollectionStore(vertx, settings.store()), new JsonRecordDecoder(), metrics);
+        Signal.handle(
+                new Signal("TERM"),
+                signal -> vertx.runOnContext(nothing -> node.stop().onComplete(ended -> stopped.countDown())));
+        Signal.handle(new Signal("HUP"), signal -> events.record(EventCode.SETTINGS_READ, "SIGHUP"));
+        try {
+            vertx.deployVerticle(context -> node.start()).await(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (RuntimeException | TimeoutException e) {
+            events.record(EventCode.NODE_START_FAILED, String.valueOf(e.getMessage()));
+            throw e;
+        }
+        stopped.await();
+        Runtime.getRuntime().halt(ExitCode.DONE);
+        return ExitCode.DONE;
+    }
+}
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -24,6 +24,9 @@
     /** Changed certificates cannot be used. */
     TLS_RENEWAL_FAILED(109, EventLevel.ERROR, "Changed certificates cannot be used; those before stay in use"),
 
+    /** The settings were read again. */
+    SETTINGS_READ(110, EventLevel.INFO, "The settings were read again"),
+
     /** The bearer key is absent or not in force. */
     KEY_UNKNOWN(201, EventLevel.INFO, "The bearer key is not known"),
     /** The body is not valid JSON. */
@@ -77,6 +80,9 @@
     /** A stream was resumed. */
     STREAM_RESUMED(408, EventLevel.INFO, "The stream was resumed"),
 
+    /** A worker's record cannot be used. */
+    UPSTREAM_UNREADABLE(421, EventLevel.WARNING, "A worker's record in the store cannot be used"),
+
     /** The engine does not hold the model now. */
     UPSTREAM_NOT_SERVING(420, EventLevel.INFO, "The upstream does not serve the model now"),
 
@@ -121,6 +127,9 @@
     /** The node could not register itself. */
     REGISTRATION_FAILED(709, EventLevel.WARNING, "The node could not write its registration; it will try again"),
 
+    /** The platform answers again. */
+    PLATFORM_REACHABLE(710, EventLevel.INFO, "The platform answers again"),
+
     /** This node places models for a service. */
     PLACEMENT_LEASE_TAKEN(801, EventLevel.INFO, "This node holds the placement lease of a service"),
     /** This node no longer places models for a service. */
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/AttemptPolicy.java
@@ -0,0 +1,73 @@
+package io.lagoonseam.core.forward;
+
+import io.lagoonseam.core.verdict.Verdict;
+
+/**
+ * Decides what follows an attempt. A request that may have run is sent again only if its work may run more than once;
+ * every further send that follows an arrival is taken from the repeat budget.
+ */
+public final class AttemptPolicy {
+
+    /** The connections that one request tries without an arrival: a few, so that a dead data centre is passed over. */
+    private static final int CONNECT_TRIES = 4;
+
+    /** The least time that is worth another attempt, in milliseconds: the way to a worker and back. */
+    private static final long LEAST_MILLIS = 15;
+
+    private AttemptPolicy() {}
+
+    /**
+     * The history of a request.
+     *
+     * @param kind how often its work may run
+     * @param maxAttempts the most workers that it may arrive at
+     * @param arrivals the workers at which it has arrived or may have
+     * @param connectFailures the connections that were not made
+     * @param mayHaveRun whether an attempt may have had an effect
+     * @param leftMillis the time that is left to it
+     */
+    public record History(
+            WorkKind kind, int maxAttempts, int arrivals, int connectFailures, boolean mayHaveRun, long leftMillis) {}
+
+    /** Takes one repeat of the budget; asked only when all else allows the send. */
+    @FunctionalInterface
+    public interface Allowance {
+
+        /**
+         * Takes a repeat.
+         *
+         * @return whether it may be sent
+         */
+        boolean tryTake();
+    }
+
+    /**
+     * Decides what follows an attempt.
+     *
+     * @param result what came of it
+     * @param history the request with this attempt counted
+     * @param allowance the repeat budget
+     * @return the next step
+     */
+    public static NextStep next(AttemptResult result, History history, Allowance allowance) {
+        if (result instanceof AttemptResult.Answered answered) {
+            boolean failed = answered.status() >= 500;
+            boolean repeat = failed
+                    && history.kind() == WorkKind.IDEMPOTENT
+                    && history.arrivals() < history.maxAttempts()
+                    && history.leftMillis() >= LEAST_MILLIS
+                    && allowance.tryTake();
+            return repeat ? NextStep.SEND_AGAIN : NextStep.PASS_ANSWER;
+        }
+        NextStep end = history.mayHaveRun() ? NextStep.FAIL : NextStep.REFUSE;
+        boolean allowed =
+                history.leftMillis() >= LEAST_MILLIS && (history.kind().repeatable() || !history.mayHaveRun());
+        if (!allowed) {
+            return end;
+        }
+        if (result.verdict() instanceof Verdict.NotRun && history.arrivals() == 0) {
+            return history.connectFailures() < CONNECT_TRIES ? NextStep.SEND_AGAIN : end;
+        }
+        return history.arrivals() < history.maxAttempts() && allowance.tryTake() ? NextStep.SEND_AGAIN : end;
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
@@ -0,0 +1,160 @@
+package io.lagoonseam.core.forward;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the configuration that forwarding follows. */
+public final class RoutingConfiguration {
+
+    private final long version;
+    private final RouteTable routes;
+    private final Map<String, ForwardService> services;
+    private final CallerLimits limits;
+    private final Map<String, KeyHolder> holdersByKey;
+    private final boolean keyed;
+
+    private RoutingConfiguration(Builder builder) {
+        this.version = builder.version;
+        this.routes = builder.routes;
+        this.services = Map.copyOf(builder.services);
+        this.limits = builder.limits;
+        this.holdersByKey = Map.copyOf(builder.holdersByKey);
+        this.keyed = builder.keyed;
+    }
+
+    /**
+     * Starts a configuration.
+     *
+     * @param version its version; later ones are higher
+     * @return a builder
+     */
+    public static Builder builder(long version) {
+        return new Builder(version);
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return a number that only rises
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the routes.
+     *
+     * @return the table
+     */
+    public RouteTable routes() {
+        return routes;
+    }
+
+    /**
+     * Returns a service.
+     *
+     * @param name its name
+     * @return the service, or empty if there is none of that name
+     */
+    public Optional<ForwardService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Returns the limits of callers.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns whether requests need a key, unless their route is anonymous.
+     *
+     * @return true if the configuration names workspaces
+     */
+    public boolean keyed() {
+        return keyed;
+    }
+
+    /**
+     * Finds the workspace that holds a key.
+     *
+     * @param key the key as the caller sent it
+     * @return the holder, or empty if no workspace holds it
+     */
+    public Optional<KeyHolder> holder(String key) {
+        return Optional.ofNullable(holdersByKey.get(key));
+    }
+
+    /** Builds a {@link RoutingConfiguration}. */
+    public static final class Builder {
+
+        private final long version;
+        private RouteTable routes = new RouteTable(List.of());
+        private Map<String, ForwardService> services = Map.of();
+        private CallerLimits limits = CallerLimits.DEFAULT;
+        private Map<String, KeyHolder> holdersByKey = Map.of();
+        private boolean keyed;
+
+        private Builder(long version) {
+            this.version = version;
+        }
+
+        /**
+         * Sets the routes.
+         *
+         * @param value the table
+         * @return this builder
+         */
+        public Builder routes(RouteTable value) {
+            this.routes = value;
+            return this;
+        }
+
+        /**
+         * Sets the services.
+         *
+         * @param value the services by their names
+         * @return this builder
+         */
+        public Builder services(Map<String, ForwardService> value) {
+            this.services = value;
+            return this;
+        }
+
+        /**
+         * Sets the limits of callers.
+         *
+         * @param value the limits
+         * @return this builder
+         */
+        public Builder limits(CallerLimits value) {
+            this.limits = value;
+            return this;
+        }
+
+        /**
+         * Sets the workspaces; from then on requests need a key.
+         *
+         * @param value the holders by their keys
+         * @return this builder
+         */
+        public Builder holders(Map<String, KeyHolder> value) {
+            this.holdersByKey = value;
+            this.keyed = true;
+            return this;
+        }
+
+        /**
+         * Builds the configuration.
+         *
+         * @return the configuration
+         */
+        public RoutingConfiguration build() {
+            return new RoutingConfiguration(this);
+        }
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -0,0 +1,186 @@
+package io.lagoonseam.core.forward;
+
+import io.lagoonseam.core.hash.Rendezvous;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What this node knows of one worker: its record, what is in flight there, and how it answers. */
+public final class UpstreamState {
+
+    /**
+     * How long a peer's count holds, in milliseconds: some rounds of the exchange, so that a lost one does not count.
+     */
+    private static final long PEER_COUNT_MILLIS = 1_500;
+
+    /** How long a worker's own count holds, in milliseconds: about the age that reports have when they arrive. */
+    private static final long HINT_MILLIS = 300;
+
+    private final long hash;
+    private final UpstreamTrust trust = new UpstreamTrust();
+    private final FirstEventTime firstEventTime = new FirstEventTime();
+    private final Map<String, PeerCount> peerCounts = new HashMap<>();
+    private UpstreamRecord record;
+    private int inFlight;
+    private long pendingTokens;
+    private int hintedRequests;
+    private long hintedAtMillis = Long.MIN_VALUE / 2;
+
+    private record PeerCount(int inFlight, long pendingTokens, long atMillis) {}
+
+    /**
+     * Creates the state of a worker at which nothing is in flight.
+     *
+     * @param record its record
+     */
+    public UpstreamState(UpstreamRecord record) {
+        this.record = record;
+        this.hash = Rendezvous.hash(record.id());
+    }
+
+    /**
+     * Returns the worker's record.
+     *
+     * @return the newest one
+     */
+    public UpstreamRecord record() {
+        return record;
+    }
+
+    /**
+     * Takes a newer record of the same incarnation.
+     *
+     * @param value the record
+     */
+    public void record(UpstreamRecord value) {
+        this.record = value;
+    }
+
+    /**
+     * Returns the hash of the worker's id, for rendezvous hashing.
+     *
+     * @return the hash
+     */
+    public long hash() {
+        return hash;
+    }
+
+    /**
+     * Returns whether the worker is believed.
+     *
+     * @return its trust
+     */
+    public UpstreamTrust trust() {
+        return trust;
+    }
+
+    /**
+     * Returns how long the worker takes to a first event.
+     *
+     * @return the estimate
+     */
+    public FirstEventTime firstEventTime() {
+        return firstEventTime;
+    }
+
+    /**
+     * Notes a request on its way.
+     *
+     * @param tokens the prompt tokens that the worker has to read for it
+     */
+    public void started(long tokens) {
+        inFlight++;
+        pendingTokens += tokens;
+        trust.sent();
+    }
+
+    /**
+     * Notes that a request's prompt has been read, since its first event came or it ended before.
+     *
+     * @param tokens what {@link #started} was told
+     */
+    public void promptRead(long tokens) {
+        pendingTokens -= tokens;
+    }
+
+    /** Notes the end of a request. */
+    public void ended() {
+        inFlight--;
+    }
+
+    /**
+     * Returns the requests of this node at the worker.
+     *
+     * @return a count
+     */
+    public int ownInFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Returns the prompt tokens of this node's requests that the worker has not read yet.
+     *
+     * @return a count
+     */
+    public long ownPendingTokens() {
+        return pendingTokens;
+    }
+
+    /**
+     * Takes a peer's counts.
+     *
+     * @param peer the node
+     * @param requests its requests at the worker
+     * @param tokens its prompt tokens that the worker has not read yet
+     * @param nowMillis the time
+     */
+    public void peerCount(String peer, int requests, long tokens, long nowMillis) {
+        if (requests == 0 && tokens == 0) {
+            peerCounts.remove(peer);
+        } else {
+            peerCounts.put(peer, new PeerCount(requests, tokens, nowMillis));
+        }
+    }
+
+    /**
+     * Takes the worker's own count, which came with an answer.
+     *
+     * @param requests running and waiting requests of all nodes
+     * @param nowMillis the time
+     */
+    public void hint(int requests, long nowMillis) {
+        hintedRequests = requests;
+        hintedAtMillis = nowMillis;
+    }
+
+    /**
+     * Returns the requests of all nodes at the worker, as far as known.
+     *
+     * @param nowMillis the time
+     * @return the larger of what the nodes tell and what the worker told lately
+     */
+    public int inFlight(long nowMillis) {
+        int sum = inFlight;
+        for (PeerCount count : peerCounts.values()) {
+            if (nowMillis - count.atMillis <= PEER_COUNT_MILLIS) {
+                sum += count.inFlight;
+            }
+        }
+        return nowMillis - hintedAtMillis <= HINT_MILLIS ? Math.max(sum, hintedRequests) : sum;
+    }
+
+    /**
+     * Returns the prompt tokens of all nodes' requests that the worker has not read yet, as far as known.
+     *
+     * @param nowMillis the time
+     * @return a count
+     */
+    public long pendingTokens(long nowMillis) {
+        long sum = pendingTokens;
+        for (PeerCount count : peerCounts.values()) {
+            if (nowMillis - count.atMillis <= PEER_COUNT_MILLIS) {
+                sum += count.pendingTokens;
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -0,0 +1,201 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.forward.ForwardService;
+import io.lagoonseam.core.forward.LeastLoadedChooser;
+import io.lagoonseam.core.forward.PrefixChooser;
+import io.lagoonseam.core.forward.RepeatBudget;
+import io.lagoonseam.core.forward.RoutingConfiguration;
+import io.lagoonseam.core.forward.UpstreamChooser;
+import io.lagoonseam.core.forward.UpstreamDirectory;
+import io.lagoonseam.core.forward.UpstreamRecord;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.hash.Rendezvous;
+import io.lagoonseam.core.time.TimeSource;
+import io.vertx.core.http.HttpClientAgent;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Places requests on workers: keeps the queue of each service in step with the directory and the configuration. */
+final class ForwardDispatcher {
+
+    /** The part of a worker's connections that the nodes use together, since their counts of each other lag. */
+    private static final double CONNECTION_SHARE = 0.9;
+
+    private final NodeSettings settings;
+    private final HttpClientAgent client;
+    private final TimeSource time;
+    private final UpstreamDirectory directory;
+    private final Map<String, ServiceQueue> queues = new HashMap<>();
+    private final Map<String, WorkerConnections> connections = new HashMap<>();
+    private final UpstreamChooser engineChooser = new PrefixChooser();
+    private final UpstreamChooser plainChooser;
+    private RoutingConfiguration configuration;
+    private int nodes = 1;
+
+    ForwardDispatcher(NodeSettings settings, HttpClientAgent client, TimeSource time, UpstreamDirectory directory) {
+        this.settings = settings;
+        this.client = client;
+        this.time = time;
+        this.directory = directory;
+        this.plainChooser = new LeastLoadedChooser(Rendezvous.hash(settings.nodeName()));
+    }
+
+    /** Puts a configuration in force. */
+    void configure(RoutingConfiguration value) {
+        this.configuration = value;
+        shareConnections();
+        refresh();
+    }
+
+    /** Sets the nodes that share the workers, this one included. */
+    void nodes(int value) {
+        if (nodes != value) {
+            nodes = value;
+            shareConnections();
+        }
+    }
+
+    int nodes() {
+        return nodes;
+    }
+
+    private void shareConnections() {
+        queues.forEach(this::shareConnections);
+    }
+
+    private void shareConnections(String name, ServiceQueue queue) {
+        Optional<ForwardService> service = configuration == null ? Optional.empty() : configuration.service(name);
+        service.ifPresent(found -> {
+            queue.modelEngine(found.modelEngine());
+            queue.connectionsPerWorker(
+                    Math.max(1, (int) (CONNECTION_SHARE * found.maxConnections() / Math.max(1, nodes))));
+        });
+    }
+
+    private ServiceQueue queue(String service) {
+        return queues.computeIfAbsent(service, name -> {
+            NodeSettings.Bounds bounds = settings.bounds();
+            ServiceQueue queue = new ServiceQueue(
+                    engineChooser,
+                    plainChooser,
+                    new RepeatBudget(bounds.repeatRatio(), bounds.repeatWindowMillis(), bounds.repeatSlack()));
+            shareConnections(name, queue);
+            return queue;
+        });
+    }
+
+    /** Takes over what the directory knows; workers that get no new work leave, requests that wait are placed. */
+    void refresh() {
+        Set<String> serving = new HashSet<>();
+        for (UpstreamRecord record : directory.serving()) {
+            serving.add(record.id());
+            keep(record);
+        }
+        for (ServiceQueue queue : queues.values()) {
+            queue.workers().keySet().removeIf(id -> {
+                boolean gone = !serving.contains(id);
+                if (gone) {
+                    forget(id);
+                }
+                return gone;
+            });
+        }
+        pump();
+    }
+
+    private void keep(UpstreamRecord record) {
+        Map<String, UpstreamState> workers = queue(record.service()).workers();
+        UpstreamState known = workers.get(record.id());
+        if (known != null && known.record().sameIncarnation(record)) {
+            known.record(record);
+            return;
+        }
+        if (known != null) {
+            forget(record.id());
+        }
+        workers.put(record.id(), new UpstreamState(record));
+        connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
+    }
+
+    private void forget(String id) {
+        WorkerConnections gone = connections.remove(id);
+        if (gone != null) {
+            gone.closeIdle();
+        }
+    }
+
+    /** Returns the connections to a worker. */
+    Optional<WorkerConnections> connections(String workerId) {
+        return Optional.ofNullable(connections.get(workerId));
+    }
+
+    /** Counts a request of a caller for a service. */
+    void count(String service) {
+        queue(service).budget().request(time.monotonicMillis());
+    }
+
+    /** Places a request, or lets it wait until a place comes free. */
+    void submit(ForwardedRequest request, long latestMillis) {
+        ServiceQueue queue = queue(request.service());
+        if (!queue.hasWorkers() || queue.line().size() > 0 || !place(queue, request)) {
+            queue.line().add(request, request.priority(), latestMillis);
+        }
+    }
+
+    private boolean place(ServiceQueue queue, ForwardedRequest request) {
+        long nowMillis = time.monotonicMillis();
+        Optional<UpstreamChooser.Choice> choice = queue.choose(request, settings.dataCentre(), nowMillis);
+        choice.ifPresent(request::send);
+        return choice.isPresent();
+    }
+
+    /** Takes a repeat from the budget of a service. */
+    boolean tryRepeat(String service) {
+        return queue(service).budget().tryTake(nodes, time.monotonicMillis());
+    }
+
+    /** Withdraws a request that waits. */
+    void withdraw(ForwardedRequest request) {
+        queue(request.service()).line().remove(request);
+    }
+
+    /** Places requests that wait and gives up those that have waited for too long. */
+    void pump() {
+        long nowMillis = time.monotonicMillis();
+        for (ServiceQueue queue : List.copyOf(queues.values())) {
+            if (queue.line().size() == 0) {
+                continue;
+            }
+            queue.line().offer(request -> place(queue, request));
+            queue.line().expire(nowMillis).forEach(ForwardedRequest::onWaitedTooLong);
+        }
+    }
+
+    /** Closes idle connections that will not be used again. */
+    void sweep() {
+        connections.values().forEach(WorkerConnections::sweep);
+    }
+
+    /** Returns the state of a worker that gets work. */
+    Optional<UpstreamState> worker(String id) {
+        for (ServiceQueue queue : queues.values()) {
+            UpstreamState state = queue.workers().get(id);
+            if (state != null) {
+                return Optional.of(state);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the states of all workers that get work. */
+    List<UpstreamState> workers() {
+        List<UpstreamState> all = new ArrayList<>();
+        queues.values().forEach(queue -> all.addAll(queue.workers().values()));
+        return all;
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
@@ -0,0 +1,24 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.time.TimeSource;
+import io.vertx.core.Vertx;
+import java.util.Random;
+
+/**
+ * What the parts of a node work with.
+ *
+ * @param vertx the Vert.x of the event loop
+ * @param settings the node's settings
+ * @param protocol reads and writes headers
+ * @param time the clocks
+ * @param random randomness for spreading
+ * @param events the sink of numbered events
+ */
+public record ForwardEnvironment(
+        Vertx vertx,
+        NodeSettings settings,
+        ForwardProtocol protocol,
+        TimeSource time,
+        Random random,
+        EventSink events) {}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -0,0 +1,463 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.AttemptPolicy;
+import io.lagoonseam.core.forward.AttemptResult;
+import io.lagoonseam.core.forward.NextStep;
+import io.lagoonseam.core.forward.PromptParts;
+import io.lagoonseam.core.forward.RetryAfter;
+import io.lagoonseam.core.forward.Route;
+import io.lagoonseam.core.forward.UpstreamChooser;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.UpstreamTrust;
+import io.lagoonseam.core.forward.WorkKind;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One request of a caller from its last byte to the end of its answer: it waits for a worker, is sent, maybe sent
+ * again, and its answer is passed on. The final answer follows each decision at once.
+ */
+final class ForwardedRequest implements UpstreamAttempt.Listener {
+
+    /** The largest body of an answer that is held before it is passed on, in bytes. */
+    private static final int HELD_BYTES = 8 << 20;
+
+    /** How long a worker's own answer at the deadline is waited for, in milliseconds: a way between data centres. */
+    private static final long DEADLINE_GRACE_MILLIS = 15;
+
+    /** The part of the objective that a request waits for a place before it is refused. */
+    private static final double WAIT_SHARE = 0.5;
+
+    /** The part of the objective that a request waits if its service has no worker at all. */
+    private static final double LOST_WAIT_SHARE = 0.12;
+
+    /** The objectives after which a worker that has sent nothing of repeatable work is held silent. */
+    private static final double SILENT_OBJECTIVES = 1.5;
+
+    /** The longest pauses after which a worker that sends nothing more of a resumable stream is held silent. */
+    private static final double SILENT_GAPS = 3;
+
+    private static final int OK_LOW = 200;
+    private static final int OK_HIGH = 299;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final ForwardEnvironment environment;
+    private final ForwardDispatcher dispatcher;
+    private final Admitted admitted;
+    private final HttpServerRequest request;
+    private final HttpServerResponse response;
+    private final Buffer body;
+    private final long arrivedMillis;
+    private final long deadlineMillis;
+    private final Set<String> tried = new HashSet<>();
+    private final Runnable onDone;
+    private EventSplitter splitter = new EventSplitter();
+    private Buffer held = Buffer.buffer();
+    private String lastEventId;
+    private UpstreamAttempt attempt;
+    private UpstreamState worker;
+    private long unreadTokens;
+    private long tokensAhead;
+    private long sentMillis;
+    private AnswerHead answer;
+    private MultiMap answerHeaders;
+    private int arrivals;
+    private int connectFailures;
+    private boolean mayHaveRun;
+    private boolean mayHaveRunBefore;
+    private boolean headWritten;
+    private boolean waiting;
+    private boolean done;
+    private long deadlineTimer = -1;
+    private long silenceTimer = -1;
+
+    /**
+     * What was found for a request before it is forwarded.
+     *
+     * @param head what the caller says
+     * @param route its route
+     * @param service its service
+     * @param workspace its workspace, empty for an anonymous one
+     * @param priority its rank
+     */
+    record Admitted(CallerHead head, Route route, String service, String workspace, int priority) {}
+
+    ForwardedRequest(
+            ForwardEnvironment environment,
+            ForwardDispatcher dispatcher,
+            Admitted admitted,
+            HttpServerRequest request,
+            Buffer body,
+            long arrivedMillis,
+            Runnable onDone) {
+        this.environment = environment;
+        this.dispatcher = dispatcher;
+        this.admitted = admitted;
+        this.request = request;
+        this.response = request.response();
+        this.body = body;
+        this.arrivedMillis = arrivedMillis;
+        this.onDone = onDone;
+        this.lastEventId = admitted.head().lastEventId();
+        long waitMillis = admitted.head().waitMillis();
+        long timeoutMillis = admitted.route().timeoutMillis();
+        this.deadlineMillis = arrivedMillis + (waitMillis > 0 ? Math.min(waitMillis, timeoutMillis) : timeoutMillis);
+    }
+
+    String service() {
+        return admitted.service();
+    }
+
+    int priority() {
+        return admitted.priority();
+    }
+
+    PromptParts prompt() {
+        return admitted.head().prompt();
+    }
+
+    Set<String> tried() {
+        return tried;
+    }
+
+    private WorkKind kind() {
+        return admitted.route().kind();
+    }
+
+    long objectiveLeftMillis(long nowMillis) {
+        return Math.max(0, arrivedMillis + admitted.route().objectiveMillis() - nowMillis);
+    }
+
+    private long nowMillis() {
+        return environment.time().monotonicMillis();
+    }
+
+    private long leftMillis() {
+        return deadlineMillis - nowMillis();
+    }
+
+    /** Begins the request's way. */
+    void begin() {
+        response.closeHandler(nothing -> onCallerGone());
+        response.exceptionHandler(cause -> onCallerGone());
+        long deadlineDelayMillis = Math.max(1, leftMillis() + DEADLINE_GRACE_MILLIS);
+        deadlineTimer = environment.vertx().setTimer(deadlineDelayMillis, timer -> onDeadline());
+        dispatcher.count(service());
+        submit();
+    }
+
+    private void submit() {
+        waiting = true;
+        double share = dispatcher.workers().isEmpty() ? LOST_WAIT_SHARE : WAIT_SHARE;
+        long waitMillis = Math.round(share * admitted.route().objectiveMillis());
+        dispatcher.submit(this, Math.min(deadlineMillis, nowMillis() + waitMillis));
+    }
+
+    /** Sends the request to a chosen worker. */
+    void send(UpstreamChooser.Choice choice) {
+        waiting = false;
+        worker = choice.worker();
+        Optional<WorkerConnections> connections =
+                dispatcher.connections(worker.record().id());
+        tokensAhead = worker.pendingTokens(nowMillis());
+        unreadTokens = choice.tokensToRead();
+        worker.started(unreadTokens);
+        tried.add(worker.record().id());
+        answer = null;
+        held = Buffer.buffer();
+        splitter = new EventSplitter();
+        if (connections.isEmpty()) {
+            onFailure(new AttemptResult.NotRun("the worker has left", false));
+            return;
+        }
+        UpstreamHead head = new UpstreamHead(
+                worker.record().id(), Math.max(1, leftMillis()), priority(), admitted.workspace(), lastEventId);
+        MultiMap headers = environment.protocol().upstreamHeaders(request.headers(), head);
+        attempt = new UpstreamAttempt(
+                environment.protocol(),
+                connections.get(),
+                new UpstreamAttempt.Message(
+                        request.method(),
+                        request.uri(),
+                        headers,
+                        body,
+                        admitted.head().requestId()),
+                this);
+        sentMillis = nowMillis();
+        attempt.start();
+    }
+
+    @Override
+    public void onSent() {
+        arrivals++;
+        mayHaveRunBefore = mayHaveRun;
+        mayHaveRun = true;
+        sentMillis = nowMillis();
+        if (kind().repeatable()) {
+            long patienceMillis =
+                    Math.round(SILENT_OBJECTIVES * admitted.route().objectiveMillis());
+            watchSilence(Math.max(patienceMillis, expectedMillis()));
+        }
+    }
+
+    private long expectedMillis() {
+        return Math.round(2 * worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens));
+    }
+
+    private void watchSilence(long millis) {
+        environment.vertx().cancelTimer(silenceTimer);
+        silenceTimer = environment.vertx().setTimer(Math.max(1, millis), timer -> onSilence());
+    }
+
+    private void onSilence() {
+        if (done || attempt == null) {
+            return;
+        }
+        long sinceMillis = sentMillis;
+        UpstreamAttempt silent = attempt;
+        String workerId = worker.record().id();
+        if (arrivals < admitted.route().maxAttempts() && leftMillis() > 0) {
+            silent.cancel();
+            dispatcher.connections(workerId).ifPresent(connections -> connections.doubt(sinceMillis));
+            onFailure(new AttemptResult.Silent());
+        }
+    }
+
+    @Override
+    public void onHead(AnswerHead head, MultiMap headers) {
+        answer = head;
+        answerHeaders = headers;
+        if (head.requestsThere() >= 0) {
+            worker.hint(head.requestsThere(), nowMillis());
+        }
+    }
+
+    private boolean succeeds() {
+        return answer.status() >= OK_LOW && answer.status() <= OK_HIGH;
+    }
+
+    @Override
+    public void onBody(Buffer bytes) {
+        if (!kind().stream() || !succeeds()) {
+            held.appendBuffer(bytes);
+            if (held.length() > HELD_BYTES) {
+                attempt.cancel();
+                onFailure(new AttemptResult.Broken("the answer is over " + HELD_BYTES + " bytes"));
+            }
+            return;
+        }
+        Buffer events = splitter.feed(bytes);
+        if (events.length() == 0) {
+            return;
+        }
+        onEvents(events);
+    }
+
+    private void onEvents(Buffer events) {
+        if (unreadTokens > 0 || !headWritten) {
+            observeFirstEvent();
+        }
+        if (!splitter.lastId().isEmpty()) {
+            lastEventId = splitter.lastId();
+        }
+        if (kind().repeatable()) {
+            watchSilence(Math.round(SILENT_GAPS * admitted.route().gapObjectiveMillis()));
+        }
+        writeHead();
+        response.write(events);
+        if (response.writeQueueFull()) {
+            UpstreamAttempt paused = attempt;
+            paused.pause();
+            response.drainHandler(nothing -> paused.resume());
+        }
+    }
+
+    private void observeFirstEvent() {
+        worker.firstEventTime().observe(tokensAhead + unreadTokens, nowMillis() - sentMillis);
+        promptRead();
+    }
+
+    private void promptRead() {
+        worker.promptRead(unreadTokens);
+        unreadTokens = 0;
+    }
+
+    private void writeHead() {
+        if (headWritten) {
+            return;
+        }
+        headWritten = true;
+        response.setStatusCode(answer.status());
+        response.headers().addAll(environment.protocol().callerHeaders(answerHeaders));
+        response.setChunked(true);
+    }
+
+    @Override
+    public void onEnd() {
+        endAttempt();
+        if (answer.notRun() || answer.wrongWorker()) {
+            mayHaveRun = mayHaveRunBefore;
+            decide(new AttemptResult.NotRun("status " + answer.status(), true));
+            return;
+        }
+        if (succeeds() && !answer.genuine()) {
+            observe(UpstreamTrust.Outcome.FAILED);
+            decide(new AttemptResult.Broken("a success without the worker's mark"));
+            return;
+        }
+        observe(answer.status() >= 500 ? UpstreamTrust.Outcome.FAILED : UpstreamTrust.Outcome.ANSWERED);
+        decide(new AttemptResult.Answered(answer.status()));
+    }
+
+    private void observe(UpstreamTrust.Outcome outcome) {
+        worker.trust().observe(outcome, nowMillis());
+    }
+
+    private void endAttempt() {
+        environment.vertx().cancelTimer(silenceTimer);
+        promptRead();
+        worker.ended();
+        attempt = null;
+    }
+
+    @Override
+    public void onFailure(AttemptResult result) {
+        endAttempt();
+        if (result instanceof AttemptResult.NotRun) {
+            connectFailures++;
+            observe(UpstreamTrust.Outcome.SILENT);
+        } else {
+            observe(
+                    result instanceof AttemptResult.Silent
+                            ? UpstreamTrust.Outcome.SILENT
+                            : UpstreamTrust.Outcome.FAILED);
+        }
+        environment.events().record(EventCode.UPSTREAM_ERROR, describe(result));
+        decide(result);
+    }
+
+    private String describe(AttemptResult result) {
+        return "request " + admitted.head().requestId() + " at "
+                + worker.record().id() + ": " + result;
+    }
+
+    private void decide(AttemptResult result) {
+        if (done) {
+            return;
+        }
+        AttemptPolicy.History history = new AttemptPolicy.History(
+                kind(), admitted.route().maxAttempts(), arrivals, connectFailures, mayHaveRun, leftMillis());
+        NextStep step = AttemptPolicy.next(result, history, () -> dispatcher.tryRepeat(service()));
+        switch (step) {
+            case SEND_AGAIN -> submit();
+            case PASS_ANSWER -> passAnswer();
+            case REFUSE -> refuse();
+            case FAIL -> fail(result instanceof AttemptResult.Silent ? GATEWAY_TIMEOUT : BAD_GATEWAY);
+        }
+        dispatcher.pump();
+    }
+
+    private void passAnswer() {
+        if (kind().stream() && succeeds()) {
+            writeHead();
+            response.end(splitter.rest());
+        } else if (headWritten) {
+            breakOff();
+            return;
+        } else {
+            response.setStatusCode(answer.status());
+            response.headers().addAll(environment.protocol().callerHeaders(answerHeaders));
+            response.end(held);
+        }
+        finish();
+    }
+
+    /** Gives the request up while it has surely not run. */
+    private void refuse() {
+        long pauseMillis =
+                RetryAfter.millis(0, leftMillis(), environment.random().nextDouble());
+        answerOwn(SERVICE_UNAVAILABLE, pauseMillis);
+    }
+
+    private void fail(int status) {
+        answerOwn(status, 0);
+    }
+
+    private void answerOwn(int status, long retryAfterMillis) {
+        if (headWritten) {
+            breakOff();
+            return;
+        }
+        environment
+                .events()
+                .record(
+                        status == SERVICE_UNAVAILABLE ? EventCode.NO_UPSTREAM : EventCode.UPSTREAM_ERROR,
+                        "request " + admitted.head().requestId() + " ended with " + status);
+        response.setStatusCode(status);
+        environment.protocol().own(response.headers(), admitted.head().requestId(), retryAfterMillis);
+        response.end();
+        finish();
+    }
+
+    /** Closes the caller's connection in the middle of an answer, so that the answer does not look complete. */
+    private void breakOff() {
+        finish();
+        request.connection().close();
+    }
+
+    /** The request has waited for so long that it is refused. */
+    void onWaitedTooLong() {
+        waiting = false;
+        if (mayHaveRun) {
+            fail(BAD_GATEWAY);
+        } else {
+            refuse();
+        }
+    }
+
+    private void onDeadline() {
+        if (done) {
+            return;
+        }
+        boolean unsent = waiting && !mayHaveRun;
+        abandon();
+        if (unsent) {
+            refuse();
+        } else {
+            fail(GATEWAY_TIMEOUT);
+        }
+    }
+
+    private void onCallerGone() {
+        if (!done) {
+            abandon();
+            finish();
+        }
+    }
+
+    private void abandon() {
+        if (waiting) {
+            dispatcher.withdraw(this);
+            waiting = false;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+            endAttempt();
+        }
+    }
+
+    private void finish() {
+        done = true;
+        environment.vertx().cancelTimer(deadlineTimer);
+        environment.vertx().cancelTimer(silenceTimer);
+        onDone.run();
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -0,0 +1,172 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.peer.PeerReply;
+import io.lagoonseam.core.peer.PeerTransport;
+import io.lagoonseam.wire.ForwardMessages;
+import io.lagoonseam.wire.MessageTypes;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/**
+ * Tells other nodes what this one has in flight at each worker and which revisions it knows, and asks a node that knows
+ * more for its copy. So a node that the store turns away is still in step with the others.
+ */
+final class PeerExchange {
+
+    /** The nodes that each round tells, so that a node's messages do not grow with the fleet. */
+    private static final int FAN_OUT = 8;
+
+    /** The rounds without a change after which counts are told all the same. */
+    private static final int QUIET_ROUNDS = 4;
+
+    private static final long REQUEST_MILLIS = 800;
+    private static final long PULL_MILLIS = 1_500;
+
+    private final ForwardEnvironment environment;
+    private final PeerTransport transport;
+    private final ForwardDispatcher dispatcher;
+    private final NodeDirectory nodes;
+    private final Knowledge knowledge;
+    private final Set<String> lastTold = new HashSet<>();
+    private String lastDigest = "";
+    private int quietRounds;
+    private int next;
+    private boolean pulling;
+
+    /** What this node knows of the store, and can take over from another node. */
+    interface Knowledge {
+
+        /** Returns the version of the configuration in force, -1 before the first. */
+        long configurationVersion();
+
+        /** Returns the store's revision up to which the workers are known, -1 before the first listing. */
+        long upstreamRevision();
+
+        /** Returns a copy of both. */
+        ForwardMessages.Snapshot snapshot();
+
+        /** Takes over what is newer in another node's copy. */
+        void take(ForwardMessages.Snapshot snapshot);
+    }
+
+    PeerExchange(
+            ForwardEnvironment environment,
+            PeerTransport transport,
+            ForwardDispatcher dispatcher,
+            NodeDirectory nodes,
+            Knowledge knowledge) {
+        this.environment = environment;
+        this.transport = transport;
+        this.dispatcher = dispatcher;
+        this.nodes = nodes;
+        this.knowledge = knowledge;
+        transport.register(MessageTypes.FORWARD_STATE, this::onState);
+        transport.register(
+                MessageTypes.FORWARD_PULL,
+                (sender, payload) -> CompletableFuture.completedFuture(ForwardMessages.encode(knowledge.snapshot())));
+    }
+
+    /** Tells some nodes the state of this one. */
+    void tick() {
+        List<String> peers = nodes.peers(environment.random());
+        if (peers.isEmpty()) {
+            return;
+        }
+        ForwardMessages.State state = state();
+        String digest = state.toString();
+        quietRounds = digest.equals(lastDigest) ? quietRounds + 1 : 0;
+        lastDigest = digest;
+        if (quietRounds % QUIET_ROUNDS != 0) {
+            return;
+        }
+        byte[] payload = ForwardMessages.encode(state);
+        int count = Math.min(FAN_OUT, peers.size());
+        for (int index = 0; index < count; index++) {
+            next = (next + 1) % peers.size();
+            tell(peers.get(next), payload);
+        }
+    }
+
+    private void tell(String peer, byte[] payload) {
+        transport
+                .request(peer, MessageTypes.FORWARD_STATE, payload, REQUEST_MILLIS)
+                .thenAccept(reply -> environment.vertx().runOnContext(nothing -> onReply(peer, reply)));
+    }
+
+    private void onReply(String peer, PeerReply reply) {
+        if (reply instanceof PeerReply.Answered answered) {
+            onVersions(peer, ForwardMessages.decodeState(answered.payload()));
+        }
+    }
+
+    private ForwardMessages.State state() {
+        Map<String, ForwardMessages.Count> counts = new HashMap<>();
+        Set<String> told = new HashSet<>();
+        for (UpstreamState worker : dispatcher.workers()) {
+            String id = worker.record().id();
+            if (worker.ownInFlight() > 0 || worker.ownPendingTokens() > 0 || lastTold.contains(id)) {
+                counts.put(id, new ForwardMessages.Count(worker.ownInFlight(), worker.ownPendingTokens()));
+            }
+            if (worker.ownInFlight() > 0) {
+                told.add(id);
+            }
+        }
+        lastTold.clear();
+        lastTold.addAll(told);
+        return new ForwardMessages.State(knowledge.configurationVersion(), knowledge.upstreamRevision(), counts);
+    }
+
+    private CompletionStage<byte[]> onState(String sender, byte[] payload) {
+        ForwardMessages.State state = ForwardMessages.decodeState(payload);
+        long nowMillis = environment.time().monotonicMillis();
+        state.counts()
+                .forEach((id, count) -> dispatcher
+                        .worker(id)
+                        .ifPresent(worker ->
+                                worker.peerCount(sender, count.inFlight(), count.pendingTokens(), nowMillis)));
+        onVersions(sender, state);
+        return CompletableFuture.completedFuture(ForwardMessages.encode(
+                new ForwardMessages.State(knowledge.configurationVersion(), knowledge.upstreamRevision(), Map.of())));
+    }
+
+    private void onVersions(String peer, ForwardMessages.State state) {
+        nodes.heard(peer);
+        boolean ahead = state.configurationVersion() > knowledge.configurationVersion()
+                || state.upstreamRevision() > knowledge.upstreamRevision();
+        if (ahead && !pulling) {
+            pulling = true;
+            transport
+                    .request(peer, MessageTypes.FORWARD_PULL, new byte[0], PULL_MILLIS)
+                    .thenAccept(reply -> environment.vertx().runOnContext(nothing -> onPulled(peer, reply)));
+        }
+    }
+
+    private void onPulled(String peer, PeerReply reply) {
+        pulling = false;
+        if (reply instanceof PeerReply.Answered answered) {
+            knowledge.take(ForwardMessages.decodeSnapshot(answered.payload()));
+        } else {
+            environment.events().record(EventCode.PEER_SILENT, peer + " did not hand over its copy: " + reply);
+        }
+    }
+
+    /** Asks nodes for their copies until one is known, when the store does not answer at the start. */
+    void askForCopy() {
+        List<String> peers = nodes.peers(environment.random());
+        if (knowledge.configurationVersion() >= 0 || peers.isEmpty() || pulling) {
+            return;
+        }
+        pulling = true;
+        String peer = peers.get(environment.random().nextInt(peers.size()));
+        transport
+                .request(peer, MessageTypes.FORWARD_PULL, new byte[0], PULL_MILLIS)
+                .thenAccept(reply -> environment.vertx().runOnContext(nothing -> onPulled(peer, reply)));
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
@@ -0,0 +1,86 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.forward.ChoiceRequest;
+import io.lagoonseam.core.forward.RepeatBudget;
+import io.lagoonseam.core.forward.UpstreamChooser;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.WaitingLine;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiFunction;
+
+/** One service at this node: its workers, the requests that wait for one of them, and its repeat budget. */
+final class ServiceQueue {
+
+    private final Map<String, UpstreamState> workers = new LinkedHashMap<>();
+    private final WaitingLine<ForwardedRequest> line = new WaitingLine<>();
+    private final UpstreamChooser engineChooser;
+    private final UpstreamChooser plainChooser;
+    private final RepeatBudget budget;
+    private boolean modelEngine;
+    private int connectionsPerWorker = Integer.MAX_VALUE;
+
+    ServiceQueue(UpstreamChooser engineChooser, UpstreamChooser plainChooser, RepeatBudget budget) {
+        this.engineChooser = engineChooser;
+        this.plainChooser = plainChooser;
+        this.budget = budget;
+    }
+
+    void modelEngine(boolean value) {
+        this.modelEngine = value;
+    }
+
+    void connectionsPerWorker(int value) {
+        this.connectionsPerWorker = value;
+    }
+
+    RepeatBudget budget() {
+        return budget;
+    }
+
+    Map<String, UpstreamState> workers() {
+        return workers;
+    }
+
+    WaitingLine<ForwardedRequest> line() {
+        return line;
+    }
+
+    boolean hasWorkers() {
+        return !workers.isEmpty();
+    }
+
+    /**
+     * Chooses a worker among the trusted ones, or among all if none is; one that was tried before is the last resort.
+     */
+    Optional<UpstreamChooser.Choice> choose(ForwardedRequest request, String dataCentre, long nowMillis) {
+        Collection<UpstreamState> candidates = candidates(nowMillis);
+        UpstreamChooser chooser = modelEngine ? engineChooser : plainChooser;
+        BiFunction<Set<String>, Collection<UpstreamState>, Optional<UpstreamChooser.Choice>> choice =
+                (avoided, from) -> chooser.choose(
+                        new ChoiceRequest(
+                                request.prompt(),
+                                request.objectiveLeftMillis(nowMillis),
+                                dataCentre,
+                                avoided,
+                                nowMillis),
+                        from);
+        Optional<UpstreamChooser.Choice> fresh = choice.apply(request.tried(), candidates);
+        return fresh.isPresent() || request.tried().isEmpty() ? fresh : choice.apply(Set.of(), candidates);
+    }
+
+    private Collection<UpstreamState> candidates(long nowMillis) {
+        List<UpstreamState> trusted = new ArrayList<>();
+        for (UpstreamState worker : workers.values()) {
+            if (worker.trust().trusted(nowMillis) && worker.ownInFlight() < connectionsPerWorker) {
+                trusted.add(worker);
+            }
+        }
+        return trusted.isEmpty() ? workers.values() : trusted;
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreKnowledge.java
@@ -0,0 +1,231 @@
+package io.lagoonseam.entry.forward;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.RoutingConfiguration;
+import io.lagoonseam.core.forward.UpstreamDirectory;
+import io.lagoonseam.core.forward.UpstreamRecord;
+import io.lagoonseam.entry.store.CollectionFollower;
+import io.lagoonseam.entry.store.StoredObject;
+import io.lagoonseam.wire.ForwardMessages;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The configuration in force and the workers' records, from the store or from a node that knows more. Versions and
+ * revisions only move forward.
+ */
+final class StoreKnowledge implements PeerExchange.Knowledge {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final ForwardEnvironment environment;
+    private final RecordDecoder decoder;
+    private final UpstreamDirectory directory;
+    private final Consumer<RoutingConfiguration> onConfiguration;
+    private final Runnable onUpstreams;
+    private final Map<String, StoredObject> upstreams = new HashMap<>();
+    private RoutingConfiguration configuration;
+    private StoredObject configurationObject;
+    private long upstreamRevision = -1;
+    private boolean storeAnswers = true;
+
+    StoreKnowledge(
+            ForwardEnvironment environment,
+            RecordDecoder decoder,
+            UpstreamDirectory directory,
+            Consumer<RoutingConfiguration> onConfiguration,
+            Runnable onUpstreams) {
+        this.environment = environment;
+        this.decoder = decoder;
+        this.directory = directory;
+        this.onConfiguration = onConfiguration;
+        this.onUpstreams = onUpstreams;
+    }
+
+    Optional<RoutingConfiguration> configuration() {
+        return Optional.ofNullable(configuration);
+    }
+
+    @Override
+    public long configurationVersion() {
+        return configuration == null ? -1 : configuration.version();
+    }
+
+    @Override
+    public long upstreamRevision() {
+        return upstreamRevision;
+    }
+
+    /** Returns what hears the configuration's collection. */
+    CollectionFollower.Listener configurationListener() {
+        return new ConfigurationListener();
+    }
+
+    /** Returns what hears the workers' collection. */
+    CollectionFollower.Listener upstreamListener() {
+        return new UpstreamListener();
+    }
+
+    private long nowMillis() {
+        return environment.time().monotonicMillis();
+    }
+
+    private void onAnswered(String what) {
+        if (!storeAnswers) {
+            storeAnswers = true;
+            environment.events().record(EventCode.PLATFORM_REACHABLE, what);
+        }
+    }
+
+    private void onFailed(String what, String reason) {
+        directory.outage(nowMillis());
+        if (storeAnswers) {
+            storeAnswers = false;
+            environment.events().record(EventCode.PLATFORM_UNREACHABLE, what + ": " + reason);
+        }
+    }
+
+    private void takeConfiguration(StoredObject object) {
+        if (object.removed()) {
+            environment.events().record(EventCode.CONFIGURATION_UNREADABLE, "the configuration was removed; ignored");
+            return;
+        }
+        Optional<RoutingConfiguration> read = decoder.configuration(object);
+        if (read.isEmpty()) {
+            environment
+                    .events()
+                    .record(EventCode.CONFIGURATION_UNREADABLE, object.name() + " at revision " + object.revision());
+            return;
+        }
+        if (read.get().version() > configurationVersion()) {
+            configuration = read.get();
+            configurationObject = object;
+            environment.events().record(EventCode.CONFIGURATION_IN_FORCE, "version " + configuration.version());
+            onConfiguration.accept(configuration);
+        }
+    }
+
+    private final class ConfigurationListener implements CollectionFollower.Listener {
+
+        @Override
+        public void listed(List<StoredObject> objects, long revision) {
+            objects.forEach(StoreKnowledge.this::takeConfiguration);
+        }
+
+        @Override
+        public void changed(StoredObject object, long revision) {
+            takeConfiguration(object);
+        }
+
+        @Override
+        public void failed(String reason) {
+            onFailed("configuration", reason);
+        }
+
+        @Override
+        public void answered() {
+            onAnswered("configuration");
+        }
+    }
+
+    private final class UpstreamListener implements CollectionFollower.Listener {
+
+        @Override
+        public void listed(List<StoredObject> objects, long revision) {
+            takeListing(objects, revision);
+        }
+
+        @Override
+        public void changed(StoredObject object, long revision) {
+            upstreamRevision = Math.max(upstreamRevision, object.revision());
+            if (object.removed()) {
+                upstreams.remove(object.name());
+                directory.removed(object.name(), Math.max(object.revision(), revision), nowMillis());
+            } else {
+                upstreams.put(object.name(), object);
+                readUpstream(object).ifPresent(directory::changed);
+            }
+            onUpstreams.run();
+        }
+
+        @Override
+        public void failed(String reason) {
+            onFailed("workers", reason);
+        }
+
+        @Override
+        public void answered() {
+            onAnswered("workers");
+        }
+    }
+
+    private Optional<UpstreamRecord> readUpstream(StoredObject object) {
+        Optional<UpstreamRecord> read = decoder.upstream(object);
+        if (read.isEmpty()) {
+            environment.events().record(EventCode.UPSTREAM_UNREADABLE, object.name());
+        }
+        return read;
+    }
+
+    private void takeListing(List<StoredObject> objects, long revision) {
+        upstreams.clear();
+        List<UpstreamRecord> records = new ArrayList<>();
+        long newest = upstreamRevision;
+        for (StoredObject object : objects) {
+            upstreams.put(object.name(), object);
+            readUpstream(object).ifPresent(records::add);
+            newest = Math.max(newest, object.revision());
+        }
+        upstreamRevision = Math.max(newest, 0);
+        directory.listed(records, revision, nowMillis());
+        onUpstreams.run();
+    }
+
+    @Override
+    public ForwardMessages.Snapshot snapshot() {
+        List<ForwardMessages.Copy> copies = new ArrayList<>();
+        upstreams.values().forEach(object -> copies.add(copy(object)));
+        return new ForwardMessages.Snapshot(
+                configurationVersion(),
+                configurationObject == null ? List.of() : List.of(copy(configurationObject)),
+                upstreamRevision,
+                copies);
+    }
+
+    private static ForwardMessages.Copy copy(StoredObject object) {
+        try {
+            return new ForwardMessages.Copy(object.name(), object.revision(), JSON.writeValueAsBytes(object.content()));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree in memory cannot be written", e);
+        }
+    }
+
+    @Override
+    public void take(ForwardMessages.Snapshot snapshot) {
+        if (snapshot.configurationVersion() > configurationVersion()) {
+            snapshot.configuration().forEach(copy -> takeConfiguration(object(copy)));
+        }
+        if (snapshot.upstreamRevision() > upstreamRevision) {
+            takeListing(snapshot.upstreams().stream().map(this::object).toList(), snapshot.upstreamRevision());
+            upstreamRevision = Math.max(upstreamRevision, snapshot.upstreamRevision());
+        }
+    }
+
+    private StoredObject object(ForwardMessages.Copy copy) {
+        JsonNode content = null;
+        try {
+            content = JSON.readTree(copy.content());
+        } catch (IOException e) {
+            environment.events().record(EventCode.CONFIGURATION_UNREADABLE, copy.name() + ": " + e.getMessage());
+        }
+        return new StoredObject(copy.name(), copy.revision(), false, content);
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamHead.java
@@ -0,0 +1,12 @@
+package io.lagoonseam.entry.forward;
+
+/**
+ * What this node tells a worker beside what the caller sent.
+ *
+ * @param workerId the worker that is meant
+ * @param leftMillis the time that is left
+ * @param urgency the rank of the request, 0 is first
+ * @param workspace the workspace of the request, empty for an anonymous one
+ * @param lastEventId the event after which a stream goes on, empty to start it
+ */
+public record UpstreamHead(String workerId, long leftMillis, int urgency, String workspace, String lastEventId) {}
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -0,0 +1,144 @@
+package io.lagoonseam.entry.store;
+
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Follows a collection: a listing, then watches from its revision, and a new listing where the history is gone. All of
+ * it runs on one event loop.
+ */
+public final class CollectionFollower {
+
+    /**
+     * The longest wait of a watch, in milliseconds. A watch that went silent is noticed when it is over, so it is short
+     * against the time in which a change has to be in force after a connection was lost.
+     */
+    private static final long WATCH_MILLIS = 4_000;
+
+    /** The pause after the first failed call, in milliseconds: about ten answers of a healthy store. */
+    private static final long FIRST_PAUSE_MILLIS = 40;
+
+    /** The longest pause between calls, in milliseconds, so that an end of an outage is noticed in time. */
+    private static final long LONGEST_PAUSE_MILLIS = 500;
+
+    private final Vertx vertx;
+    private final CollectionStore store;
+    private final String collection;
+    private final Listener listener;
+    private final Random random;
+    private long revision = -1;
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private boolean stopped;
+
+    /** Hears what is in the collection. */
+    public interface Listener {
+
+        /**
+         * The whole collection.
+         *
+         * @param objects all objects
+         * @param revision the revision of the listing
+         */
+        void listed(List<StoredObject> objects, long revision);
+
+        /**
+         * An object was created, changed or removed.
+         *
+         * @param object the object
+         * @param revision the store's revision after it
+         */
+        void changed(StoredObject object, long revision);
+
+        /**
+         * A call failed.
+         *
+         * @param reason why, in words
+         */
+        void failed(String reason);
+
+        /** A call was answered. */
+        void answered();
+    }
+
+    /**
+     * Creates a follower that is not started.
+     *
+     * @param vertx the event loop's Vert.x
+     * @param store the store
+     * @param collection the collection
+     * @param listener hears what is in it
+     * @param random spreads the calls of several nodes
+     */
+    public CollectionFollower(Vertx vertx, CollectionStore store, String collection, Listener listener, Random random) {
+        this.vertx = vertx;
+        this.store = store;
+        this.collection = collection;
+        this.listener = listener;
+        this.random = random;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        list();
+    }
+
+    /** Makes no further call. */
+    public void stop() {
+        stopped = true;
+    }
+
+    private void list() {
+        if (!stopped) {
+            store.list(collection).onSuccess(this::onListed);
+        }
+    }
+
+    private void onListed(StoreResult result) {
+        if (stopped) {
+            return;
+        }
+        if (result instanceof StoreResult.Objects listing) {
+            answered();
+            revision = listing.revision();
+            listener.listed(listing.objects(), listing.revision());
+            watch();
+        } else {
+            pause(String.valueOf(result), this::list);
+        }
+    }
+
+    private void watch() {
+        if (!stopped) {
+            store.watch(collection, revision, WATCH_MILLIS).onSuccess(this::onChanged);
+        }
+    }
+
+    private void onChanged(StoreResult result) {
+        if (stopped) {
+            return;
+        }
+        if (result instanceof StoreResult.Objects changes) {
+            answered();
+            revision = Math.max(revision, changes.revision());
+            changes.objects().forEach(object -> listener.changed(object, changes.revision()));
+            watch();
+        } else if (result instanceof StoreResult.HistoryGone) {
+            list();
+        } else {
+            pause(String.valueOf(result), this::list);
+        }
+    }
+
+    private void answered() {
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        listener.answered();
+    }
+
+    private void pause(String reason, Runnable next) {
+        listener.failed(reason);
+        long millis = Math.round(pauseMillis * (0.5 + random.nextDouble()));
+        pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
+        vertx.setTimer(Math.max(1, millis), timer -> next.run());
+    }
+}
--- /dev/null
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
@@ -0,0 +1,199 @@
+package io.lagoonseam.wire;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Messages between nodes that forward requests. */
+public final class ForwardMessages {
+
+    private static final int VERSION = 1;
+
+    private ForwardMessages() {}
+
+    /**
+     * What a node has at one worker.
+     *
+     * @param inFlight its requests there
+     * @param pendingTokens prompt tokens of these that the worker has not read yet
+     */
+    public record Count(int inFlight, long pendingTokens) {}
+
+    /**
+     * What a node tells of itself.
+     *
+     * @param configurationVersion the version of the configuration in force there, -1 for none
+     * @param upstreamRevision the store's revision up to which it knows the workers, -1 for none
+     * @param counts what it has in flight, by worker; workers that are not named keep their count
+     */
+    public record State(long configurationVersion, long upstreamRevision, Map<String, Count> counts) {
+
+        /** Copies the map. */
+        public State {
+            counts = Map.copyOf(counts);
+        }
+    }
+
+    /**
+     * A copy of an object of the store.
+     *
+     * @param name its name
+     * @param revision the revision of its last change
+     * @param content its content as it lies in the store
+     */
+    public record Copy(String name, long revision, byte[] content) {}
+
+    /**
+     * A copy of what a node knows of the store.
+     *
+     * @param configurationVersion the version of the configuration, -1 for none
+     * @param configuration the objects of the configuration
+     * @param upstreamRevision the revision up to which the workers are known, -1 for none
+     * @param upstreams the records of the workers
+     */
+    public record Snapshot(
+            long configurationVersion, List<Copy> configuration, long upstreamRevision, List<Copy> upstreams) {
+
+        /** Copies the lists. */
+        public Snapshot {
+            configuration = List.copyOf(configuration);
+            upstreams = List.copyOf(upstreams);
+        }
+    }
+
+    /** Writes the fields of a message. */
+    @FunctionalInterface
+    private interface Writer {
+        void write(MessageBufferPacker packer) throws IOException;
+    }
+
+    /** Reads the fields of a message. */
+    @FunctionalInterface
+    private interface Reader<T> {
+        T read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    private static byte[] pack(Writer writer) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(VERSION);
+            writer.write(packer);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static <T> T unpack(byte[] payload, Reader<T> reader) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+            int version = unpacker.unpackInt();
+            if (version != VERSION) {
+                throw new MalformedMessageException("message version " + version + " is not known");
+            }
+            return reader.read(unpacker);
+        } catch (IOException | MessagePackException e) {
+            throw new MalformedMessageException("malformed message", e);
+        }
+    }
+
+    /**
+     * Encodes a state.
+     *
+     * @param state the state
+     * @return MessagePack
+     */
+    public static byte[] encode(State state) {
+        return pack(packer -> {
+            packer.packLong(state.configurationVersion())
+                    .packLong(state.upstreamRevision())
+                    .packMapHeader(state.counts().size());
+            for (Map.Entry<String, Count> entry : state.counts().entrySet()) {
+                packer.packString(entry.getKey())
+                        .packInt(entry.getValue().inFlight())
+                        .packLong(entry.getValue().pendingTokens());
+            }
+        });
+    }
+
+    /**
+     * Decodes a state.
+     *
+     * @param payload MessagePack
+     * @return the state
+     * @throws MalformedMessageException if it is not one
+     */
+    public static State decodeState(byte[] payload) {
+        return unpack(payload, unpacker -> {
+            long configurationVersion = unpacker.unpackLong();
+            long upstreamRevision = unpacker.unpackLong();
+            int size = unpacker.unpackMapHeader();
+            Map<String, Count> counts = new HashMap<>();
+            for (int index = 0; index < size; index++) {
+                String id = unpacker.unpackString();
+                counts.put(id, new Count(unpacker.unpackInt(), unpacker.unpackLong()));
+            }
+            return new State(configurationVersion, upstreamRevision, counts);
+        });
+    }
+
+    /**
+     * Encodes a copy of what a node knows.
+     *
+     * @param snapshot the copy
+     * @return MessagePack
+     */
+    public static byte[] encode(Snapshot snapshot) {
+        return pack(packer -> {
+            packer.packLong(snapshot.configurationVersion());
+            pack(packer, snapshot.configuration());
+            packer.packLong(snapshot.upstreamRevision());
+            pack(packer, snapshot.upstreams());
+        });
+    }
+
+    private static void pack(MessageBufferPacker packer, List<Copy> copies) throws IOException {
+        packer.packArrayHeader(copies.size());
+        for (Copy copy : copies) {
+            packer.packString(copy.name()).packLong(copy.revision());
+            packer.packBinaryHeader(copy.content().length).writePayload(copy.content());
+        }
+    }
+
+    /**
+     * Decodes a copy of what a node knows.
+     *
+     * @param payload MessagePack
+     * @return the copy
+     * @throws MalformedMessageException if it is not one
+     */
+    public static Snapshot decodeSnapshot(byte[] payload) {
+        return unpack(payload, unpacker -> {
+            long configurationVersion = unpacker.unpackLong();
+            List<Copy> configuration = readCopies(unpacker, payload.length);
+            long upstreamRevision = unpacker.unpackLong();
+            return new Snapshot(
+                    configurationVersion, configuration, upstreamRevision, readCopies(unpacker, payload.length));
+        });
+    }
+
+    private static List<Copy> readCopies(MessageUnpacker unpacker, int limitBytes) throws IOException {
+        int size = unpacker.unpackArrayHeader();
+        List<Copy> copies = new ArrayList<>();
+        for (int index = 0; index < size; index++) {
+            String name = unpacker.unpackString();
+            long revision = unpacker.unpackLong();
+            int length = unpacker.unpackBinaryHeader();
+            if (length > limitBytes) {
+                throw new MalformedMessageException("content of " + length + " bytes in a smaller message");
+            }
+            copies.add(new Copy(name, revision, unpacker.readPayload(length)));
+        }
+        return copies;
+    }
+}
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -2,7 +2,7 @@
 
 /**
  * The numbers of message types. Numbers are never reused: 1 to 19 membership, 20 to 29 operations, 30 to 39
- * configuration, 40 to 49 limits, 50 to 59 routing, 60 to 69 placement.
+ * configuration, 40 to 49 limits, 50 to 59 routing, 60 to 69 placement, 70 to 79 forwarding.
  */
 public final class MessageTypes {
 
@@ -32,5 +32,11 @@
     /** Asks the home of some workers for shares of their capacity: {@link RoutingMessages.Demand}. */
     public static final int CAPACITY_DEMAND = 50;
 
+    /** Tells what a node has in flight and knows: {@link ForwardMessages.State}, answered by the like. */
+    public static final int FORWARD_STATE = 70;
+
+    /** Asks for a copy of what a node knows, answered by {@link ForwardMessages.Snapshot}. */
+    public static final int FORWARD_PULL = 71;
+
     private MessageTypes() {}
 }
