--- /dev/null
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/RouteTableTest.java
@@ -0,0 +1,64 @@
+package io.lagoonseam.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Checks which route a request gets, and how a split is drawn. */
+public class RouteTableTest {
+
+    private static Route route(String name, String host, String prefix) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                WorkKind.IDEMPOTENT,
+                1_000,
+                100,
+                0,
+                0,
+                List.of(new WeightedService("x", 90), new WeightedService("y", 10)),
+                1,
+                false,
+                false);
+    }
+
+    private static String found(String host, String path) {
+        RouteTable table = new RouteTable(List.of(
+                route("root", "a.example", "/"),
+                route("short", "a.example", "/chat/"),
+                route("long", "a.example", "/chat/long/"),
+                route("other", "b.example", "/chat/")));
+        return table.find(host, path).map(Route::name).orElse("none");
+    }
+
+    @Test
+    public void theLongestPrefixWins() {
+        assertEquals(found("a.example", "/chat/long/7"), "long");
+        assertEquals(found("a.example", "/chat/other"), "short");
+        assertEquals(found("a.example", "/chat/"), "short");
+    }
+
+    @Test
+    public void aPrefixEndsAtASlash() {
+        assertEquals(found("a.example", "/chatter"), "root");
+        assertEquals(found("b.example", "/chatter"), "none");
+    }
+
+    @Test
+    public void theHostIsComparedWithoutCaseAndPort() {
+        assertEquals(found("A.Example:8080", "/chat/x"), "short");
+        assertEquals(found("c.example", "/chat/x"), "none");
+    }
+
+    @Test
+    public void aSplitFollowsItsWeights() {
+        Route split = route("split", "a.example", "/");
+        assertEquals(split.service(0), "x");
+        assertEquals(split.service(0.899), "x");
+        assertEquals(split.service(0.901), "y");
+        assertTrue(split.service(0.999_999).equals("y"));
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -13,6 +13,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -71,6 +72,7 @@
         this.dispatcher = new ForwardDispatcher(
                 environment.settings(),
                 vertx.createHttpClient(new HttpClientOptions()
+                        .setProtocolVersion(HttpVersion.HTTP_1_1)
                         .setKeepAlive(true)
                         .setTcpNoDelay(true)
                         .setDecompressionSupported(false)),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardProtocol.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardProtocol.java
@@ -31,6 +31,13 @@
      */
     AnswerHead answer(int status, MultiMap headers);
 
+    /**
+     * Returns the header in which workers echo the id of a request.
+     *
+     * @return its name
+     */
+    String requestIdHeader();
+
     /**
      * Makes the headers of an answer to the caller.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -16,6 +16,7 @@
     private final Message message;
     private final Listener listener;
     private WorkerConnections.Connection connection;
+    private AnswerFilter filter;
     private HttpClientResponse response;
     private AnswerHead answer;
     private boolean sent;
@@ -85,6 +86,8 @@
         if (over) {
             return;
         }
+        filter = AnswerFilter.of(request.connection(), protocol.requestIdHeader());
+        filter.expect(message.requestId());
         request.headers().addAll(message.headers());
         request.exceptionHandler(cause -> fail(broken(cause)));
         request.response().onSuccess(this::onResponse).onFailure(cause -> fail(broken(cause)));
@@ -107,10 +110,6 @@
         }
         response = received;
         answer = protocol.answer(received.statusCode(), received.headers());
-        if (!answer.requestId().isEmpty() && !answer.requestId().equals(message.requestId())) {
-            fail(new AttemptResult.Broken("the answer belongs to another request"));
-            return;
-        }
         received.exceptionHandler(cause -> fail(broken(cause)));
         received.handler(bytes -> {
             if (!over) {
@@ -126,7 +125,11 @@
             return;
         }
         over = true;
-        connection.release(answer);
+        if (filter.spoiled()) {
+            connection.close();
+        } else {
+            connection.release(answer);
+        }
         listener.onEnd();
     }
 
--- /dev/null
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/store/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of the platform's store of objects. */
+package io.lagoonseam.standin.store;
