--- a/platform/src/test/java/io/lagoonseam/platform/Fleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -1,4 +1,4 @@
-package io.lagoonseam.platform;
+package io.lagoonseam.bench.deployment;
 
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.time.SystemTimeSource;
@@ -6,9 +6,13 @@
 import io.lagoonseam.entry.forward.ForwardNode;
 import io.lagoonseam.entry.forward.NodeSettings;
 import io.lagoonseam.entry.settings.ListenAddress;
+import io.lagoonseam.platform.HeaderProtocol;
+import io.lagoonseam.platform.HttpCollectionStore;
+import io.lagoonseam.platform.JsonRecordDecoder;
 import io.lagoonseam.standin.store.StoreStandIn;
 import io.lagoonseam.standin.worker.WorkerOptions;
 import io.lagoonseam.standin.worker.WorkerStandIn;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.json.JsonArray;
@@ -24,37 +28,58 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
-/** Nodes over the stand-ins of store and workers, all on the loopback address, for tests. */
-final class Fleet implements AutoCloseable {
+/** Nodes over the stand-ins of store and workers, all on the loopback address and in one process. */
+public final class LocalDeployment implements AutoCloseable {
 
-    static final String HOST = "127.0.0.1";
-    static final String KEY = "key-1";
+    /** The address of everything. */
+    public static final String HOST = "127.0.0.1";
+    /** A key of the workspace that the configuration names. */
+    public static final String KEY = "key-1";
 
     private static final long WAIT_MILLIS = 10_000;
 
-    final Vertx standIns = Vertx.vertx();
-    final StoreStandIn store = new StoreStandIn(HOST, 0);
-    final List<Node> nodes = new ArrayList<>();
-    final ConcurrentLinkedQueue<String> events = new ConcurrentLinkedQueue<>();
-    final HttpClient client = HttpClient.newBuilder()
+    private final Vertx standIns = Vertx.vertx();
+    private final StoreStandIn store = new StoreStandIn(HOST, 0);
+    private final List<Node> nodes = new ArrayList<>();
+    private final Consumer<String> events;
+    private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
             .build();
     private long version = 1;
 
-    /** A running node. */
-    record Node(Vertx vertx, ForwardNode node, NodeSettings settings) {
+    /**
+     * A running node.
+     *
+     * @param vertx its event loop
+     * @param node the node
+     * @param settings its settings
+     */
+    public record Node(Vertx vertx, ForwardNode node, NodeSettings settings) {
 
-        URI uri(String path) {
+        /**
+         * Returns the address of a path for callers.
+         *
+         * @param path the path
+         * @return its URI
+         */
+        public URI uri(String path) {
             return URI.create("http://" + HOST + ":" + settings.callers().port() + path);
         }
 
-        int readiness(HttpClient client) {
+        /**
+         * Asks whether the node is ready.
+         *
+         * @param client what asks
+         * @return the status of the answer, 0 for none
+         */
+        public int readiness(HttpClient client) {
             try {
                 URI uri =
                         URI.create("http://" + HOST + ":" + settings.readiness().port() + "/ready");
@@ -68,14 +93,27 @@
         }
     }
 
-    Fleet() {
+    /**
+     * Starts a store without objects.
+     *
+     * @param events hears the events of all nodes
+     */
+    public LocalDeployment(Consumer<String> events) {
+        this.events = events;
         await(standIns.deployVerticle(store));
     }
 
-    static <T> T await(io.vertx.core.Future<T> future) {
+    /**
+     * Waits for a future.
+     *
+     * @param future the future
+     * @param <T> the type of its result
+     * @return its result
+     */
+    public static <T> T await(Future<T> future) {
         try {
             return future.await(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        } catch (java.util.concurrent.TimeoutException e) {
+        } catch (TimeoutException e) {
             throw new IllegalStateException(e);
         }
     }
@@ -88,11 +126,23 @@
         }
     }
 
-    Node start() {
+    /**
+     * Starts a node with usual bounds.
+     *
+     * @return the node
+     */
+    public Node start() {
         return start(new NodeSettings.Bounds(8_000, 0.2, 10_000, 50), List.of());
     }
 
-    Node start(NodeSettings.Bounds bounds, List<String> seeds) {
+    /**
+     * Starts a node.
+     *
+     * @param bounds what the deployment asks for
+     * @param seeds the hosts of other nodes
+     * @return the node
+     */
+    public Node start(NodeSettings.Bounds bounds, List<String> seeds) {
         String name = "node-" + (nodes.size() + 1);
         NodeSettings settings = new NodeSettings(
                 name,
@@ -111,7 +161,7 @@
                 new HeaderProtocol(),
                 new SystemTimeSource(),
                 new Random(nodes.size()),
-                (EventCode code, String detail) -> events.add(name + " " + code + " " + detail));
+                (EventCode code, String detail) -> events.accept(name + " " + code + " " + detail));
         ForwardNode node = new ForwardNode(
                 environment,
                 new HttpCollectionStore(vertx, settings.store()),
@@ -123,12 +173,22 @@
         return started;
     }
 
-    /** Applies a configuration with one service for each kind of work. */
-    long configure() {
+    /**
+     * Applies a configuration with one route for each kind of work.
+     *
+     * @return its version
+     */
+    public long configure() {
         return configure(route("chat", "/chat/", "streaming", "llm", 4_000).put("sticky_sessions", true));
     }
 
-    long configure(JsonObject... extra) {
+    /**
+     * Applies a configuration with further routes.
+     *
+     * @param extra the routes
+     * @return its version
+     */
+    public long configure(JsonObject... extra) {
         JsonArray routes = new JsonArray()
                 .add(route("read", "/read/", "safe", "app", 1_500).put("max_attempts", 2))
                 .add(route("pay", "/pay/", "unsafe", "app", 1_500))
@@ -142,7 +202,13 @@
         return apply(routes);
     }
 
-    long apply(JsonArray routes) {
+    /**
+     * Applies a configuration with these routes only.
+     *
+     * @param routes the routes
+     * @return its version
+     */
+    public long apply(JsonArray routes) {
         version += 3;
         long applied = version;
         JsonObject configuration = new JsonObject()
@@ -165,7 +231,17 @@
         return applied;
     }
 
-    static JsonObject route(String name, String prefix, String kind, String service, long timeoutMillis) {
+    /**
+     * Makes a route.
+     *
+     * @param name its name
+     * @param prefix its path prefix
+     * @param kind its kind in the platform's words
+     * @param service its service
+     * @param timeoutMillis its timeout
+     * @return the route as it lies in the store
+     */
+    public static JsonObject route(String name, String prefix, String kind, String service, long timeoutMillis) {
         return new JsonObject()
                 .put("name", name)
                 .put("host", HOST)
@@ -179,14 +255,30 @@
                 .put("max_attempts", 1);
     }
 
-    WorkerStandIn worker(String service, WorkerOptions options) {
+    /**
+     * Starts a worker and registers it.
+     *
+     * @param service its service
+     * @param options what it is like
+     * @return the worker
+     */
+    public WorkerStandIn worker(String service, WorkerOptions options) {
         WorkerStandIn worker = new WorkerStandIn(HOST, 0, options, 1);
         await(standIns.deployVerticle(worker));
         register(service, options.id(), worker.port(), options.slots(), "ready");
         return worker;
     }
 
-    void register(String service, String id, int port, int slots, String state) {
+    /**
+     * Writes a worker's record.
+     *
+     * @param service its service
+     * @param id its id
+     * @param port its port
+     * @param slots its slots
+     * @param state its state in the platform's words
+     */
+    public void register(String service, String id, int port, int slots, String state) {
         JsonObject record = new JsonObject()
                 .put("service", service)
                 .put("address", HOST + ":" + port)
@@ -199,7 +291,12 @@
         inStore(() -> store.put("servers", id, record));
     }
 
-    void inStore(Runnable change) {
+    /**
+     * Changes something in the store as its operators would.
+     *
+     * @param change the change
+     */
+    public void inStore(Runnable change) {
         CountDownLatch done = new CountDownLatch(1);
         store.run(() -> {
             change.run();
@@ -214,11 +311,22 @@
         }
     }
 
-    void awaitReady(Node node) {
+    /**
+     * Waits until a node is ready.
+     *
+     * @param node the node
+     */
+    public void awaitReady(Node node) {
         awaitThat("ready", () -> node.readiness(client) == 200);
     }
 
-    static void awaitThat(String what, BooleanSupplier condition) {
+    /**
+     * Waits for a condition.
+     *
+     * @param what the condition in words
+     * @param condition the condition
+     */
+    public static void awaitThat(String what, BooleanSupplier condition) {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > endNanos) {
@@ -232,7 +340,15 @@
         }
     }
 
-    HttpRequest.Builder request(Node node, String path, String id) {
+    /**
+     * Starts a caller's request.
+     *
+     * @param node the node that it goes to
+     * @param path the path
+     * @param id the id of the request
+     * @return a builder
+     */
+    public HttpRequest.Builder request(Node node, String path, String id) {
         return HttpRequest.newBuilder(node.uri(path))
                 .timeout(Duration.ofSeconds(8))
                 .header("Api-Key", KEY)
@@ -240,10 +356,36 @@
                 .header("X-Deadline-Ms", "5000");
     }
 
-    HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @return the answer
+     * @throws IOException if there is none
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /**
+     * Returns the store.
+     *
+     * @return the stand-in
+     */
+    public StoreStandIn store() {
+        return store;
+    }
+
+    /**
+     * Returns the client that callers use.
+     *
+     * @return the client
+     */
+    public HttpClient client() {
+        return client;
+    }
+
     @Override
     public void close() {
         nodes.forEach(node -> await(node.vertx().close()));
--- a/platform/src/test/java/io/lagoonseam/platform/NodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
@@ -1,4 +1,4 @@
-package io.lagoonseam.platform;
+package io.lagoonseam.bench.deployment;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -16,14 +16,14 @@
 /** The whole path of a node over the stand-ins. */
 public class NodeTest {
 
-    private Fleet fleet;
-    private Fleet.Node node;
+    private LocalDeployment fleet;
+    private LocalDeployment.Node node;
     private WorkerStandIn plain;
     private WorkerStandIn engine;
 
     @BeforeMethod
     public void start() {
-        fleet = new Fleet();
+        fleet = new LocalDeployment(event -> {});
         plain = fleet.worker("app", WorkerOptions.plain("p1"));
         engine = fleet.worker("llm", WorkerOptions.engine("e1"));
         fleet.configure();
@@ -107,8 +107,8 @@
 
     @Test
     public void withoutAnyWorkerACallerLearnsWhenToComeBack() throws Exception {
-        fleet.inStore(() -> fleet.store.remove("servers", "p1"));
-        Fleet.awaitThat("the removal is known", () -> {
+        fleet.inStore(() -> fleet.store().remove("servers", "p1"));
+        LocalDeployment.awaitThat("the removal is known", () -> {
             try {
                 HttpResponse<String> answer = fleet.send(fleet.request(node, "/pay/x", "w1")
                         .POST(HttpRequest.BodyPublishers.ofString("{}"))
@@ -148,8 +148,8 @@
 
     @Test
     public void aNewConfigurationIsInForceAndAnOlderOneIsNot() throws Exception {
-        fleet.configure(Fleet.route("extra", "/extra/", "safe", "app", 1_000));
-        Fleet.awaitThat("the new route", () -> {
+        fleet.configure(LocalDeployment.route("extra", "/extra/", "safe", "app", 1_000));
+        LocalDeployment.awaitThat("the new route", () -> {
             try {
                 return fleet.send(fleet.request(node, "/extra/x", "c1").build()).statusCode() == 200;
             } catch (java.io.IOException | InterruptedException e) {
@@ -157,23 +157,24 @@
             }
         });
         JsonObject old = new JsonObject().put("version", 1).put("routes", new io.vertx.core.json.JsonArray());
-        fleet.inStore(() -> fleet.store.put("config", "main", old));
+        fleet.inStore(() -> fleet.store().put("config", "main", old));
         Thread.sleep(200);
         assertEquals(fleet.send(fleet.request(node, "/extra/x", "c2").build()).statusCode(), 200);
     }
 
     @Test
     public void aPlannedStopAnswersWhatIsInFlight() throws Exception {
-        var running = fleet.client.sendAsync(
-                fleet.request(node, "/chat/x", "q1")
-                        .header("X-Token-Counts", "30,800")
-                        .POST(HttpRequest.BodyPublishers.ofString("hello"))
-                        .build(),
-                HttpResponse.BodyHandlers.ofString());
+        var running = fleet.client()
+                .sendAsync(
+                        fleet.request(node, "/chat/x", "q1")
+                                .header("X-Token-Counts", "30,800")
+                                .POST(HttpRequest.BodyPublishers.ofString("hello"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
         Thread.sleep(200);
         var stopped = node.vertx().getOrCreateContext();
         stopped.runOnContext(nothing -> node.node().stop());
-        Fleet.awaitThat("not ready", () -> node.readiness(fleet.client) == 503);
+        LocalDeployment.awaitThat("not ready", () -> node.readiness(fleet.client()) == 503);
         String body = running.get().body();
         assertTrue(
                 body.endsWith("id: 200\ndata: token 200 of q1\n\n"), body.substring(Math.max(0, body.length() - 60)));
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -40,6 +40,7 @@
             new StandInCommand(),
             new LoadCommand(),
             new ExperimentCommand(),
+            new NodeDemoCommand(),
             new DemoCommand(),
             new StatusCommand(),
             new ExplainCommand());
--- /dev/null
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeDemoCommand.java
@@ -0,0 +1,36 @@
+package io.lagoonseam.cli;
+
+import io.lagoonseam.bench.deployment.NodeDemo;
+import java.io.PrintStream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Shows nodes on stand-ins of the users' platform in one process. */
+final class NodeDemoCommand implements Command {
+
+    private static final long DEFAULT_SECONDS = 5;
+
+    @Override
+    public String name() {
+        return "demo node";
+    }
+
+    @Override
+    public String summary() {
+        return "Run three nodes over stand-ins of the platform in one process, send traffic and print a table";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommandOptions.of(
+                        "seconds", "N", "How long traffic is sent (default " + DEFAULT_SECONDS + ")"));
+    }
+
+    @Override
+    public int run(CommandLine line, PrintStream out, PrintStream err) throws Exception {
+        long seconds = CommandOptions.number(line, "seconds", DEFAULT_SECONDS);
+        boolean passed = new NodeDemo((int) seconds, out, event -> {}).run();
+        return passed ? ExitCode.DONE : ExitCode.FAILED;
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
@@ -0,0 +1,70 @@
+package io.lagoonseam.core.forward;
+
+import io.lagoonseam.core.hash.Rendezvous;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Divides the streams of each service, and its workers, into lanes. All nodes divide alike, since they know the same
+ * configuration and the same workers.
+ */
+public final class LatencyLanes {
+
+    /** A route is tolerant if its objective is over this part of the longest objective of its service. */
+    private static final double TOLERANT_SHARE = 0.5;
+
+    /**
+     * The part of the workers that is kept for sensitive work: it brings about a third of the prompt tokens of the
+     * deployments that are known, and needs spare room for its objectives.
+     */
+    private static final double SENSITIVE_WORKERS = 1.0 / 3;
+
+    private static final long LANE_HASH = Rendezvous.hash("lanes");
+
+    private final Map<String, Long> longestObjectiveMillis = new HashMap<>();
+
+    /**
+     * Creates lanes for the routes of a configuration.
+     *
+     * @param routes all routes
+     */
+    public LatencyLanes(Collection<Route> routes) {
+        for (Route route : routes) {
+            if (route.kind().stream()) {
+                for (WeightedService service : route.services()) {
+                    longestObjectiveMillis.merge(service.service(), route.objectiveMillis(), Math::max);
+                }
+            }
+        }
+    }
+
+    /**
+     * Returns the lane of a route's requests at a service.
+     *
+     * @param route the route
+     * @param service the service
+     * @return the lane
+     */
+    public Lane lane(Route route, String service) {
+        long longest = longestObjectiveMillis.getOrDefault(service, 0L);
+        return route.objectiveMillis() > TOLERANT_SHARE * longest ? Lane.TOLERANT : Lane.SENSITIVE;
+    }
+
+    /**
+     * Divides the workers of a service.
+     *
+     * @param workers all workers that get new work
+     */
+    public static void divide(Collection<UpstreamState> workers) {
+        List<UpstreamState> ordered = new ArrayList<>(workers);
+        ordered.sort(Comparator.comparingLong(worker -> Rendezvous.mix(LANE_HASH, worker.hash())));
+        long sensitive = ordered.size() < 2 ? 0 : Math.max(1, Math.round(SENSITIVE_WORKERS * ordered.size()));
+        for (int index = 0; index < ordered.size(); index++) {
+            ordered.get(index).lane(index < sensitive ? Lane.SENSITIVE : Lane.TOLERANT);
+        }
+    }
+}
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LeastLoadedChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LeastLoadedChooser.java
@@ -45,7 +45,7 @@
                 bestLoad = load;
             }
         }
-        return Optional.ofNullable(best).map(worker -> new Choice(worker, 0, "least-loaded"));
+        return Optional.ofNullable(best).map(worker -> new Choice(worker, 0, Optional.empty(), "least-loaded"));
     }
 
     private boolean preferred(UpstreamState worker, UpstreamState other) {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -8,20 +8,46 @@
 import java.util.Optional;
 
 /**
- * Sends the requests that share a part of their prompt to the same worker, on every node alike, so that the part is
- * read once. The request leaves that worker only if it would miss its objective there and another one is sooner, the
- * reading of the shared part included.
+ * Sends the requests that share a part of their prompt to the same worker of their lane, on every node alike, so that
+ * the part is read once. The request leaves that worker only if it would miss its objective there and another one is
+ * sooner, which then copies the shared parts instead of reading them. A request that would miss its objective
+ * everywhere waits: sent all the same, it would only make the others late too.
  */
 public final class PrefixChooser implements UpstreamChooser {
 
     /** The part of the objective that may pass before the first event; the rest covers the way and the uncertain. */
-    private static final double OBJECTIVE_SHARE = 0.8;
+    private static final double OBJECTIVE_SHARE = 0.75;
 
-    /** The most workers in the order of rendezvous hashing that keep one shared part in their caches. */
-    private static final int HOMES = 2;
+    /** The part of the objective within which a request is sent although its objective has passed. */
+    private static final double LATE_SHARE = 0.2;
 
     @Override
     public Optional<Choice> choose(ChoiceRequest request, Collection<UpstreamState> workers) {
+        List<UpstreamState> order = order(request, workers);
+        if (order.isEmpty()) {
+            return Optional.empty();
+        }
+        UpstreamState home = order.get(0);
+        Choice best = null;
+        double bestMillis = Double.MAX_VALUE;
+        for (UpstreamState worker : order) {
+            Choice choice = choice(request, worker, home);
+            double millis = expectedMillis(request, choice);
+            if (worker.equals(home) && inTime(request, millis)) {
+                return Optional.of(choice);
+            }
+            boolean ownLane = worker.lane() == request.lane();
+            boolean mayLeave = ownLane || request.lane() == Lane.SENSITIVE;
+            if (mayLeave && millis < bestMillis) {
+                best = choice;
+                bestMillis = millis;
+            }
+        }
+        return best != null && inTime(request, bestMillis) ? Optional.of(best) : Optional.empty();
+    }
+
+    /** Orders the workers by rendezvous hashing, those of the request's lane first. */
+    private static List<UpstreamState> order(ChoiceRequest request, Collection<UpstreamState> workers) {
         List<UpstreamState> order = new ArrayList<>();
         for (UpstreamState worker : workers) {
             boolean full = worker.inFlight(request.nowMillis())
@@ -30,33 +56,29 @@
                 order.add(worker);
             }
         }
-        if (order.isEmpty()) {
-            return Optional.empty();
-        }
         long affinity = request.prompt().affinity();
-        order.sort(Comparator.comparingLong((UpstreamState worker) -> Rendezvous.mix(affinity, worker.hash()))
-                .reversed());
-        double limitMillis = OBJECTIVE_SHARE * request.objectiveMillis();
-        Choice soonest = null;
-        double soonestMillis = Double.MAX_VALUE;
-        for (int index = 0; index < order.size(); index++) {
-            UpstreamState worker = order.get(index);
-            Choice choice = choice(request, worker, index);
-            double millis = worker.firstEventTime()
-                    .expectedMillis(worker.pendingTokens(request.nowMillis()) + choice.tokensToRead());
-            if (index < HOMES && millis <= limitMillis) {
-                return Optional.of(choice);
-            }
-            if (millis < soonestMillis) {
-                soonest = choice;
-                soonestMillis = millis;
-            }
-        }
-        return Optional.ofNullable(soonest);
+        order.sort(Comparator.comparing((UpstreamState worker) -> worker.lane() != request.lane())
+                .thenComparing(worker -> -Rendezvous.mix(affinity, worker.hash())));
+        return order;
+    }
+
+    private static boolean inTime(ChoiceRequest request, double millis) {
+        double limitMillis = request.objectiveLeftMillis() > 0
+                ? OBJECTIVE_SHARE * request.objectiveLeftMillis()
+                : LATE_SHARE * request.objectiveMillis();
+        return millis <= limitMillis;
+    }
+
+    private static double expectedMillis(ChoiceRequest request, Choice choice) {
+        UpstreamState worker = choice.worker();
+        return worker.firstEventTime()
+                .expectedMillis(worker.pendingTokens(request.nowMillis()) + choice.tokensToRead());
     }
 
-    private static Choice choice(ChoiceRequest request, UpstreamState worker, int index) {
-        long tokens = request.prompt().tokens() - (index == 0 ? request.prompt().sharedTokens() : 0);
-        return new Choice(worker, tokens, index == 0 ? "home" : "spill");
+    private static Choice choice(ChoiceRequest request, UpstreamState worker, UpstreamState home) {
+        long ownTokens = request.prompt().tokens() - request.prompt().sharedTokens();
+        boolean atHome = worker.equals(home);
+        boolean copies = !atHome && request.prompt().sharedTokens() > 0;
+        return new Choice(worker, ownTokens, copies ? Optional.of(home) : Optional.empty(), atHome ? "home" : "spill");
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RouteTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RouteTable.java
@@ -12,6 +12,7 @@
 public final class RouteTable {
 
     private final Map<String, Map<String, Route>> routesByHost;
+    private final List<Route> all;
 
     /**
      * Creates a table.
@@ -27,6 +28,16 @@
                     .putIfAbsent(route.pathPrefix(), route);
         }
         this.routesByHost = byHost;
+        this.all = List.copyOf(routes);
+    }
+
+    /**
+     * Returns all routes.
+     *
+     * @return the routes
+     */
+    public List<Route> all() {
+        return all;
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
@@ -13,6 +13,7 @@
     private final CallerLimits limits;
     private final Map<String, KeyHolder> holdersByKey;
     private final boolean keyed;
+    private final LatencyLanes lanes;
 
     private RoutingConfiguration(Builder builder) {
         this.version = builder.version;
@@ -21,6 +22,7 @@
         this.limits = builder.limits;
         this.holdersByKey = Map.copyOf(builder.holdersByKey);
         this.keyed = builder.keyed;
+        this.lanes = new LatencyLanes(routes.all());
     }
 
     /**
@@ -51,6 +53,15 @@
         return routes;
     }
 
+    /**
+     * Returns the lanes of the routes.
+     *
+     * @return the lanes
+     */
+    public LatencyLanes lanes() {
+        return lanes;
+    }
+
     /**
      * Returns a service.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamChooser.java
@@ -21,7 +21,8 @@
      *
      * @param worker the worker
      * @param tokensToRead the prompt tokens that it is expected to have to read
+     * @param copyFrom the worker that is expected to keep shared parts of the prompt which the chosen one lacks
      * @param reason why, in a word, for the log
      */
-    record Choice(UpstreamState worker, long tokensToRead, String reason) {}
+    record Choice(UpstreamState worker, long tokensToRead, Optional<UpstreamState> copyFrom, String reason) {}
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -20,6 +20,7 @@
     private final FirstEventTime firstEventTime = new FirstEventTime();
     private final Map<String, PeerCount> peerCounts = new HashMap<>();
     private UpstreamRecord record;
+    private Lane lane = Lane.TOLERANT;
     private int inFlight;
     private long pendingTokens;
     private int hintedRequests;
@@ -64,6 +65,24 @@
         return hash;
     }
 
+    /**
+     * Returns the lane that the worker serves first.
+     *
+     * @return its lane
+     */
+    public Lane lane() {
+        return lane;
+    }
+
+    /**
+     * Sets the lane.
+     *
+     * @param value the lane
+     */
+    public void lane(Lane value) {
+        this.lane = value;
+    }
+
     /**
      * Returns whether the worker is believed.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WaitingLine.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WaitingLine.java
@@ -41,14 +41,20 @@
     }
 
     /**
-     * Offers the requests in their order until one finds no place.
+     * Offers all requests in their order; one that finds no place does not keep back those behind it, which may wait
+     * for other workers.
      *
      * @param place takes a request if there is a place for it
      */
     public void offer(Predicate<T> place) {
-        while (!line.isEmpty() && place.test(line.peek().request)) {
-            line.poll();
+        List<Waiting<T>> kept = new ArrayList<>();
+        while (!line.isEmpty()) {
+            Waiting<T> waiting = line.poll();
+            if (!place.test(waiting.request)) {
+                kept.add(waiting);
+            }
         }
+        line.addAll(kept);
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.forward.ForwardService;
+import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.LeastLoadedChooser;
 import io.lagoonseam.core.forward.PrefixChooser;
 import io.lagoonseam.core.forward.RepeatBudget;
@@ -104,6 +105,7 @@
                 }
                 return gone;
             });
+            LatencyLanes.divide(queue.workers().values());
         }
         pump();
     }
@@ -142,8 +144,9 @@
     /** Places a request, or lets it wait until a place comes free. */
     void submit(ForwardedRequest request, long latestMillis) {
         ServiceQueue queue = queue(request.service());
-        if (!queue.hasWorkers() || queue.line().size() > 0 || !place(queue, request)) {
-            queue.line().add(request, request.priority(), latestMillis);
+        queue.line().add(request, request.priority(), latestMillis);
+        if (queue.hasWorkers()) {
+            queue.line().offer(waiting -> place(queue, waiting));
         }
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.AttemptPolicy;
 import io.lagoonseam.core.forward.AttemptResult;
+import io.lagoonseam.core.forward.Lane;
 import io.lagoonseam.core.forward.NextStep;
 import io.lagoonseam.core.forward.PromptParts;
 import io.lagoonseam.core.forward.RetryAfter;
@@ -11,6 +12,7 @@
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.forward.UpstreamTrust;
 import io.lagoonseam.core.forward.WorkKind;
+import io.lagoonseam.entry.settings.ListenAddress;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -32,7 +34,7 @@
     private static final long DEADLINE_GRACE_MILLIS = 15;
 
     /** The part of the objective that a request waits for a place before it is refused. */
-    private static final double WAIT_SHARE = 0.5;
+    private static final double WAIT_SHARE = 0.35;
 
     /** The part of the objective that a request waits if its service has no worker at all. */
     private static final double LOST_WAIT_SHARE = 0.12;
@@ -84,11 +86,12 @@
      *
      * @param head what the caller says
      * @param route its route
+     * @param lane its lane at the service
      * @param service its service
      * @param workspace its workspace, empty for an anonymous one
      * @param priority its rank
      */
-    record Admitted(CallerHead head, Route route, String service, String workspace, int priority) {}
+    record Admitted(CallerHead head, Route route, Lane lane, String service, String workspace, int priority) {}
 
     ForwardedRequest(
             ForwardEnvironment environment,
@@ -124,6 +127,14 @@
         return admitted.head().prompt();
     }
 
+    Lane lane() {
+        return admitted.lane();
+    }
+
+    long objectiveMillis() {
+        return admitted.route().objectiveMillis();
+    }
+
     Set<String> tried() {
         return tried;
     }
@@ -179,7 +190,14 @@
             return;
         }
         UpstreamHead head = new UpstreamHead(
-                worker.record().id(), Math.max(1, leftMillis()), priority(), admitted.workspace(), lastEventId);
+                worker.record().id(),
+                Math.max(1, leftMillis()),
+                priority(),
+                admitted.workspace(),
+                lastEventId,
+                choice.copyFrom()
+                        .map(from -> new ListenAddress(
+                                from.record().host(), from.record().port())));
         MultiMap headers = environment.protocol().upstreamHeaders(request.headers(), head);
         attempt = new UpstreamAttempt(
                 environment.protocol(),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -235,13 +235,15 @@
                             ? Optional.of(found.priority().getAsInt())
                             : Optional.empty())
                     .orElse(route.get().priority());
+            String service = route.get().service(environment.random().nextDouble());
             new ForwardedRequest(
                             environment,
                             dispatcher,
                             new ForwardedRequest.Admitted(
                                     head,
                                     route.get(),
-                                    route.get().service(environment.random().nextDouble()),
+                                    current.get().lanes().lane(route.get(), service),
+                                    service,
                                     holder.map(KeyHolder::workspace).orElse(""),
                                     priority),
                             request,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
@@ -65,6 +65,8 @@
                 (avoided, from) -> chooser.choose(
                         new ChoiceRequest(
                                 request.prompt(),
+                                request.lane(),
+                                request.objectiveMillis(),
                                 request.objectiveLeftMillis(nowMillis),
                                 dataCentre,
                                 avoided,
