--- /dev/null
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/RawCallerTest.java
@@ -0,0 +1,90 @@
+package io.lagoonseam.bench.deployment;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.lagoonseam.standin.worker.WorkerOptions;
+import io.lagoonseam.standin.worker.WorkerStandIn;
+import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Callers whose bytes are ambiguous or who leave, and what reaches a worker of them. */
+public class RawCallerTest {
+
+    private static final String HEAD = "POST /pay/x HTTP/1.1\r\nHost: " + LocalDeployment.HOST + "\r\nApi-Key: "
+            + LocalDeployment.KEY + "\r\nX-Request-Id: raw-1\r\n";
+
+    private LocalDeployment deployment;
+    private LocalDeployment.Node node;
+    private WorkerStandIn worker;
+
+    @BeforeMethod
+    public void start() {
+        deployment = new LocalDeployment(event -> {});
+        worker = deployment.worker("app", WorkerOptions.plain("p1"));
+        deployment.configure();
+        node = deployment.start();
+        deployment.awaitReady(node);
+    }
+
+    @AfterMethod
+    public void close() {
+        deployment.close();
+    }
+
+    private String exchange(String bytes) throws Exception {
+        try (Socket socket =
+                new Socket(LocalDeployment.HOST, node.settings().callers().port())) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            InputStream in = socket.getInputStream();
+            ByteArrayOutputStream read = new ByteArrayOutputStream();
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                read.write(next);
+            }
+            return read.toString(StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private void refused(String request) throws Exception {
+        String answer = exchange(request);
+        assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
+        assertEquals(worker.ran().size(), 0);
+    }
+
+    @Test
+    public void aLengthBesideChunksIsRefused() throws Exception {
+        refused(HEAD + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + HEAD
+                + "Content-Length: 0\r\n\r\n");
+    }
+
+    @Test
+    public void twoLengthsAreRefused() throws Exception {
+        refused(HEAD + "Content-Length: 2\r\nContent-Length: 40\r\n\r\n{}");
+    }
+
+    @Test
+    public void aBadChunkIsRefused() throws Exception {
+        refused(HEAD + "Transfer-Encoding: chunked\r\n\r\nzz\r\n{}\r\n0\r\n\r\n");
+    }
+
+    @Test
+    public void aCallerThatLeavesStopsTheWork() throws Exception {
+        worker.faults(new JsonObject().put("silent", true));
+        try (Socket socket =
+                new Socket(LocalDeployment.HOST, node.settings().callers().port())) {
+            socket.getOutputStream()
+                    .write((HEAD + "Content-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            LocalDeployment.awaitThat("the request is at the worker", () -> worker.openRequests() == 1);
+        }
+        LocalDeployment.awaitThat("the worker's connection is closed", () -> worker.openRequests() == 0);
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -0,0 +1,158 @@
+package io.lagoonseam.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Plays streams with shared prompt parts at six workers and checks what callers and workers get. */
+public class PrefixChooserTest {
+
+    private static List<UpstreamState> workers(int count) {
+        List<UpstreamState> workers = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            workers.add(new UpstreamState(
+                    new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", 128, false, 1)));
+        }
+        LatencyLanes.divide(workers);
+        return workers;
+    }
+
+    private static ChoiceRequest request(String part, int shared, int own, Lane lane, long objectiveMillis) {
+        PromptParts parts =
+                new PromptParts(List.of(new PromptParts.Part(part, shared), new PromptParts.Part("own", own)));
+        return new ChoiceRequest(parts, lane, objectiveMillis, objectiveMillis, "a", Set.of(), 0);
+    }
+
+    @Test
+    public void nodesThatKnowTheSameChooseAlike() {
+        List<UpstreamState> one = workers(6);
+        List<UpstreamState> other = workers(6);
+        java.util.Collections.reverse(other);
+        for (int part = 0; part < 100; part++) {
+            ChoiceRequest request = request("part" + part, 13_000, 3_700, Lane.TOLERANT, 1_000);
+            String first = new PrefixChooser()
+                    .choose(request, one)
+                    .orElseThrow()
+                    .worker()
+                    .record()
+                    .id();
+            String second = new PrefixChooser()
+                    .choose(request, other)
+                    .orElseThrow()
+                    .worker()
+                    .record()
+                    .id();
+            assertEquals(first, second);
+        }
+    }
+
+    @Test
+    public void aSharedPartIsReadByOneWorker() {
+        List<UpstreamState> workers = workers(6);
+        Map<String, Set<String>> readers = new HashMap<>();
+        Random random = new Random(1);
+        for (int index = 0; index < 500; index++) {
+            String part = "part" + random.nextInt(40);
+            String reader = new PrefixChooser()
+                    .choose(request(part, 13_000, 3_700, Lane.TOLERANT, 1_000), workers)
+                    .orElseThrow()
+                    .worker()
+                    .record()
+                    .id();
+            readers.computeIfAbsent(part, key -> new HashSet<>()).add(reader);
+        }
+        readers.values().forEach(set -> assertEquals(set.size(), 1));
+    }
+
+    @Test
+    public void longPromptsStayAwayFromSensitiveStreams() {
+        List<UpstreamState> workers = workers(6);
+        Set<String> tolerant = new HashSet<>();
+        Set<String> sensitive = new HashSet<>();
+        for (int index = 0; index < 200; index++) {
+            tolerant.add(id(request("p" + index, 13_000, 3_700, Lane.TOLERANT, 1_000), workers));
+            sensitive.add(id(request("p" + index, 350, 1_100, Lane.SENSITIVE, 250), workers));
+        }
+        assertEquals(sensitive.size(), 2);
+        assertEquals(tolerant.size(), 4);
+        tolerant.retainAll(sensitive);
+        assertTrue(tolerant.isEmpty());
+    }
+
+    private static String id(ChoiceRequest request, List<UpstreamState> workers) {
+        return new PrefixChooser()
+                .choose(request, workers)
+                .orElseThrow()
+                .worker()
+                .record()
+                .id();
+    }
+
+    @Test
+    public void aRequestThatLeavesABusyHomeCopiesItsSharedPart() {
+        List<UpstreamState> workers = workers(6);
+        ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
+        UpstreamState home =
+                new PrefixChooser().choose(request, workers).orElseThrow().worker();
+        home.started(200_000);
+        UpstreamChooser.Choice spilled =
+                new PrefixChooser().choose(request, workers).orElseThrow();
+        assertFalse(spilled.worker().equals(home));
+        assertEquals(spilled.copyFrom(), Optional.of(home));
+        assertEquals(spilled.worker().lane(), Lane.TOLERANT);
+    }
+
+    @Test
+    public void whatWouldBeLateEverywhereWaits() {
+        List<UpstreamState> workers = workers(6);
+        workers.forEach(worker -> worker.started(200_000));
+        ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
+        assertTrue(new PrefixChooser().choose(request, workers).isEmpty());
+    }
+
+    @Test
+    public void aSensitiveRequestMayUseEveryWorker() {
+        List<UpstreamState> workers = workers(6);
+        workers.stream().filter(worker -> worker.lane() == Lane.SENSITIVE).forEach(worker -> worker.started(200_000));
+        ChoiceRequest request = request("part", 350, 1_100, Lane.SENSITIVE, 250);
+        assertEquals(
+                new PrefixChooser()
+                        .choose(request, workers)
+                        .orElseThrow()
+                        .worker()
+                        .lane(),
+                Lane.TOLERANT);
+    }
+
+    @Test
+    public void aPlainerWayReadsMore() {
+        // the plain way: the worker with the fewest requests, whatever it has read
+        List<UpstreamState> workers = workers(6);
+        Random random = new Random(2);
+        long plainTokens = 0;
+        long prefixTokens = 0;
+        Map<String, Set<String>> plainCache = new HashMap<>();
+        Map<String, Set<String>> prefixCache = new HashMap<>();
+        for (int index = 0; index < 2_000; index++) {
+            String part = "part" + random.nextInt(160);
+            ChoiceRequest request = request(part, 13_000, 3_700, Lane.TOLERANT, 1_000);
+            String plain = "w" + index % 6;
+            plainTokens +=
+                    plainCache.computeIfAbsent(plain, key -> new HashSet<>()).add(part) ? 16_700 : 3_700;
+            String chosen = id(request, workers);
+            prefixTokens +=
+                    prefixCache.computeIfAbsent(chosen, key -> new HashSet<>()).add(part) ? 16_700 : 3_700;
+        }
+        assertTrue(prefixTokens < 0.6 * plainTokens, prefixTokens + " against " + plainTokens);
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/StopPolicyTest.java
@@ -0,0 +1,36 @@
+package io.lagoonseam.core.forward;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Plays requests that arrive at a node after it was asked to stop. */
+public class StopPolicyTest {
+
+    private static final long STOP_MILLIS = 8_000;
+
+    private static Route route(WorkKind kind, long timeoutMillis) {
+        return new Route(
+                "r", "h", "/", kind, timeoutMillis, 1_000, 0, 0, List.of(new WeightedService("s", 1)), 1, false, false);
+    }
+
+    @Test
+    public void aStreamThatMayNotEndInTimeIsNotTaken() {
+        StopPolicy policy = new StopPolicy(1_000, STOP_MILLIS);
+        Route stream = route(WorkKind.STREAM, 12_000);
+        assertTrue(policy.takes(stream, 1_000 + 2_500));
+        // seen on jadran-ops trouble-2: taken 3.7 s after the request to stop, cut 4 s later
+        assertFalse(policy.takes(stream, 1_000 + 3_723));
+    }
+
+    @Test
+    public void aShortRequestIsTakenAsLongAsItsTimeoutFits() {
+        StopPolicy policy = new StopPolicy(0, STOP_MILLIS);
+        Route body = route(WorkKind.NON_IDEMPOTENT, 1_500);
+        assertTrue(policy.takes(body, 5_000));
+        assertFalse(policy.takes(body, 6_500));
+        assertTrue(policy.endMillis() < STOP_MILLIS);
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.RoutingConfiguration;
+import io.lagoonseam.core.forward.StopPolicy;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.entry.peer.PeerTransportOptions;
 import io.lagoonseam.entry.peer.VertxPeerTransport;
@@ -33,9 +34,7 @@
     /** How long the balancer may send new connections after this node is not ready: two of its questions and a half. */
     private static final long BALANCER_MILLIS = 2_500;
 
-    /** The part of the time to stop after which requests that still run are left to themselves. */
-    private static final double STOP_SHARE = 0.93;
-
+    /** The pause between looks at whether a node that stops has served all, in milliseconds. */
     private static final long STOP_LOOK_MILLIS = 50;
 
     private final ForwardEnvironment environment;
@@ -165,15 +164,15 @@
         }
         stopping = true;
         environment.events().record(EventCode.NODE_STOPPING, front.inFlight() + " requests in flight");
-        long begunMillis = environment.time().monotonicMillis();
-        long endMillis = begunMillis
-                + Math.round(STOP_SHARE * environment.settings().bounds().stopMillis());
-        front.announceClosing();
+        StopPolicy policy = new StopPolicy(
+                environment.time().monotonicMillis(),
+                environment.settings().bounds().stopMillis());
+        front.announceStop(policy);
         nodes.leave();
         environment.vertx().setTimer(BALANCER_MILLIS, timer -> {
             front.closeIdleConnections();
             environment.vertx().setPeriodic(STOP_LOOK_MILLIS, look -> {
-                boolean late = environment.time().monotonicMillis() >= endMillis;
+                boolean late = environment.time().monotonicMillis() >= policy.endMillis();
                 if (front.inFlight() == 0 || late) {
                     environment.vertx().cancelTimer(look);
                     environment.events().record(EventCode.NODE_STOPPED, front.inFlight() + " requests in flight");
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -5,6 +5,7 @@
 import io.lagoonseam.core.forward.KeyHolder;
 import io.lagoonseam.core.forward.Route;
 import io.lagoonseam.core.forward.RoutingConfiguration;
+import io.lagoonseam.core.forward.StopPolicy;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -34,6 +35,9 @@
     /** When a caller should come back to a node that has no configuration yet, in milliseconds. */
     private static final long NO_CONFIGURATION_PAUSE_MILLIS = 300;
 
+    /** When a caller should come back that met a node which stops, in milliseconds: other nodes serve now. */
+    private static final long STOPPING_PAUSE_MILLIS = 20;
+
     /** The part of the process's memory that bodies of callers may hold. */
     private static final double BODY_MEMORY_SHARE = 0.1;
 
@@ -57,7 +61,7 @@
     private HttpServer server;
     private long bodyBytes;
     private int inFlight;
-    private boolean closing;
+    private Optional<StopPolicy> stop = Optional.empty();
 
     /** What is known of one connection of a caller. */
     private static final class Caller {
@@ -107,14 +111,13 @@
         return inFlight;
     }
 
-    /** Asks callers to use other connections from now on. */
-    void announceClosing() {
-        closing = true;
+    /** Asks callers to use other connections from now on, and takes only what the policy allows. */
+    void announceStop(StopPolicy policy) {
+        stop = Optional.of(policy);
     }
 
     /** Closes the connections on which no request is being served, and the others after their answer. */
     void closeIdleConnections() {
-        closing = true;
         for (Map.Entry<HttpConnection, Caller> entry : new ArrayList<>(callers.entrySet())) {
             if (entry.getValue().inFlight == 0) {
                 entry.getKey().close();
@@ -173,7 +176,7 @@
             request.handler(this::onBody);
             request.endHandler(nothing -> onRead());
             request.response().endHandler(nothing -> {
-                if (closing) {
+                if (stop.isPresent()) {
                     request.connection().close();
                 }
             });
@@ -203,7 +206,7 @@
                 return;
             }
             over = true;
-            if (closing) {
+            if (stop.isPresent()) {
                 request.response().putHeader("Connection", "close");
             }
             forward();
@@ -226,6 +229,11 @@
                 answer(head, NOT_FOUND, 0);
                 return;
             }
+            if (stop.isPresent() && !stop.get().takes(route.get(), arrivedMillis)) {
+                environment.events().record(EventCode.NODE_LEAVING, "request " + head.requestId());
+                answer(head, SERVICE_UNAVAILABLE, STOPPING_PAUSE_MILLIS);
+                return;
+            }
             Optional<KeyHolder> holder = current.get().holder(head.key());
             if (current.get().keyed() && holder.isEmpty() && !route.get().anonymous()) {
                 answer(head, UNAUTHORIZED, 0);
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A worker of a plain service or of a model, which checks that it is the one that is meant, tells its load, and counts
@@ -27,6 +28,7 @@
     private final EngineBatch batch;
     private final Random random;
     private final List<JsonObject> ran = new ArrayList<>();
+    private final AtomicInteger openRequests = new AtomicInteger();
     private int plainRunning;
     private long arrivals;
     private double failShare;
@@ -97,6 +99,8 @@
                     .end();
             return;
         }
+        openRequests.incrementAndGet();
+        request.response().endHandler(nothing -> openRequests.decrementAndGet());
         if (silent) {
             return;
         }
@@ -250,6 +254,15 @@
         return List.copyOf(ran);
     }
 
+    /**
+     * Returns the requests that have come and whose answer or connection has not ended.
+     *
+     * @return a count
+     */
+    public int openRequests() {
+        return openRequests.get();
+    }
+
     @Override
     protected JsonObject counters() {
         return new JsonObject()
