Decision log: one JSON object a line, bounded, off the path

Each decision of a request (taken, waits, sent, attempt failed, repeat, answered, refused, failed, left) and each change of belief (worker seen, set aside, back, leaving; configuration; store) is a numbered event with the inputs that decided it. Routine lines and the others have queues and budgets of their own; what is dropped is counted by event. A stalled output delays nothing (JsonLineLogTest).

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -1,14 +1,14 @@
 package io.lagoonseam.bench.deployment;
 
-import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
 import io.lagoonseam.entry.forward.ForwardNode;
 import io.lagoonseam.entry.forward.NodeSettings;
-import io.lagoonseam.entry.settings.ListenAddress;
+import io.lagoonseam.entry.log.JsonLineLog;
 import io.lagoonseam.platform.HeaderProtocol;
 import io.lagoonseam.platform.HttpCollectionStore;
 import io.lagoonseam.platform.JsonRecordDecoder;
+import io.lagoonseam.platform.PlatformSettings;
 import io.lagoonseam.standin.store.StoreStandIn;
 import io.lagoonseam.standin.worker.WorkerOptions;
 import io.lagoonseam.standin.worker.WorkerStandIn;
@@ -18,11 +18,14 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,6 +36,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /** Nodes over the stand-ins of store and workers, all on the loopback address and in one process. */
 public final class LocalDeployment implements AutoCloseable {
@@ -144,16 +148,7 @@
      */
     public Node start(NodeSettings.Bounds bounds, List<String> seeds) {
         String name = "node-" + (nodes.size() + 1);
-        NodeSettings settings = new NodeSettings(
-                name,
-                "dc-1",
-                new ListenAddress(HOST, freePort()),
-                new ListenAddress(HOST, freePort()),
-                new ListenAddress(HOST, freePort()),
-                seeds,
-                new ListenAddress(HOST, store.port()),
-                bounds,
-                new NodeSettings.Resources(280, 4_000));
+        NodeSettings settings = settings(name, bounds, seeds);
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
@@ -161,7 +156,7 @@
                 new HeaderProtocol(),
                 new SystemTimeSource(),
                 new Random(nodes.size()),
-                (EventCode code, String detail) -> events.accept(name + " " + code + " " + detail));
+                new JsonLineLog(name, new SystemTimeSource(), events));
         ForwardNode node = new ForwardNode(
                 environment,
                 new HttpCollectionStore(vertx, settings.store()),
@@ -173,6 +168,33 @@
         return started;
     }
 
+    /** Writes the settings as the platform would, and reads them as a node does. */
+    private NodeSettings settings(String name, NodeSettings.Bounds bounds, List<String> seeds) {
+        int peerPort = freePort();
+        String text = "node_name = \"" + name + "\"\nip = \"" + HOST + "\"\nzone = \"dc-1\"\n"
+                + "internal_ports = [" + peerPort + ", " + (peerPort + 1) + "]\n"
+                + "seed_nodes = ["
+                + seeds.stream().map(seed -> '"' + seed + ":1\"").collect(Collectors.joining(", "))
+                + "]\n[listen]\nfront = \"" + HOST + ":" + freePort() + "\"\n"
+                + "ready = \"" + HOST + ":" + freePort() + "\"\n"
+                + "[limits]\nmemory_mb = 280\nmax_fds = 4000\n"
+                + "[bounds]\ngrace_s = " + TimeUnit.MILLISECONDS.toSeconds(bounds.stopMillis())
+                + "\nretry_budget_ratio = " + bounds.repeatRatio()
+                + "\nbudget_window_s = " + bounds.repeatWindowMillis() / 1_000.0
+                + "\nretry_budget_slack = " + bounds.repeatSlack()
+                + "\n[platform]\naddress = \"" + HOST + ":" + store.port() + "\"\n";
+        List<String> errors = new ArrayList<>();
+        try {
+            Path file = Files.createTempFile("lagoonseam-node", ".toml");
+            Files.writeString(file, text);
+            Optional<NodeSettings> read = PlatformSettings.read(file, errors);
+            Files.delete(file);
+            return read.orElseThrow(() -> new IllegalStateException(errors.toString()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /**
      * Applies a configuration with one route for each kind of work.
      *
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
@@ -1,12 +1,11 @@
 package io.lagoonseam.cli;
 
 import io.lagoonseam.core.audit.EventCode;
-import io.lagoonseam.core.audit.EventSink;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
 import io.lagoonseam.entry.forward.ForwardNode;
 import io.lagoonseam.entry.forward.NodeSettings;
-import io.lagoonseam.entry.log.TinylogEventSink;
+import io.lagoonseam.entry.log.JsonLineLog;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.platform.HeaderProtocol;
 import io.lagoonseam.platform.HttpCollectionStore;
@@ -73,7 +72,7 @@
             throws InterruptedException, TimeoutException {
         Vertx vertx = Vertx.vertx(
                 new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
-        EventSink events = new TinylogEventSink(settings.nodeName());
+        JsonLineLog events = new JsonLineLog(settings.nodeName(), new SystemTimeSource());
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx, settings, new HeaderProtocol(), new SystemTimeSource(), new Random(), events);
         CountDownLatch stopped = new CountDownLatch(1);
@@ -90,6 +89,7 @@
             throw e;
         }
         stopped.await();
+        events.close();
         Runtime.getRuntime().halt(ExitCode.DONE);
         return ExitCode.DONE;
     }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -27,6 +27,9 @@
     /** The settings were read again. */
     SETTINGS_READ(110, EventLevel.INFO, "The settings were read again"),
 
+    /** Lines were left out of the log. */
+    LOG_DROPPED(111, EventLevel.WARNING, "Lines were left out of the log to stay within its budget"),
+
     /** The bearer key is absent or not in force. */
     KEY_UNKNOWN(201, EventLevel.INFO, "The bearer key is not known"),
     /** The body is not valid JSON. */
@@ -46,6 +49,13 @@
     /** No route of the interface has this path. */
     PATH_UNKNOWN(209, EventLevel.INFO, "The path is not part of the interface"),
 
+    /** A request was read whole and its route found. */
+    REQUEST_TAKEN(211, EventLevel.INFO, "A request was taken"),
+    /** The last byte of an answer was handed to the caller's connection. */
+    REQUEST_ANSWERED(212, EventLevel.INFO, "A request was answered"),
+    /** A request was rejected before it was forwarded. */
+    REQUEST_REJECTED(213, EventLevel.INFO, "A request was rejected: malformed, without a route or without a key"),
+
     /** A queue was full. */
     QUEUE_FULL(301, EventLevel.WARNING, "The queue of the request class is full"),
     /** The deadline cannot be met. */
@@ -63,6 +73,11 @@
     /** The home node of a workspace's limits does not answer. */
     LIMIT_HOME_SILENT(308, EventLevel.WARNING, "The node that shares out a workspace's limits does not answer"),
 
+    /** No worker can take the request now. */
+    REQUEST_WAITS(309, EventLevel.INFO, "A request waits for a place"),
+    /** A request was refused although a later one may be served. */
+    REQUEST_REFUSED(310, EventLevel.WARNING, "A request was refused, and has not run"),
+
     /** No upstream can take the request. */
     NO_UPSTREAM(401, EventLevel.WARNING, "No upstream of the service can take the request"),
     /** The connection could not be made. */
@@ -86,6 +101,21 @@
     /** The engine does not hold the model now. */
     UPSTREAM_NOT_SERVING(420, EventLevel.INFO, "The upstream does not serve the model now"),
 
+    /** A request was handed to a worker. */
+    REQUEST_SENT(430, EventLevel.INFO, "A request was sent to a worker"),
+    /** A send ended without a whole answer. */
+    ATTEMPT_FAILED(431, EventLevel.WARNING, "A send to a worker failed"),
+    /** A request ended without a whole answer. */
+    REQUEST_FAILED(432, EventLevel.WARNING, "A request failed, and may have run"),
+    /** A worker gets single requests only. */
+    UPSTREAM_SET_ASIDE(433, EventLevel.WARNING, "A worker was set aside"),
+    /** A worker gets its part of the requests again. */
+    UPSTREAM_BACK(434, EventLevel.INFO, "A worker that was set aside answers again"),
+    /** A worker may get work. */
+    UPSTREAM_SEEN(435, EventLevel.INFO, "A worker may get work"),
+    /** A repeat was taken from the budget. */
+    REPEAT_TAKEN(436, EventLevel.INFO, "A repeat was taken from the budget of the service"),
+
     /** The intent could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
     /** The key was used with another request. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -1,5 +1,7 @@
 package io.lagoonseam.entry.forward;
 
+import io.lagoonseam.core.audit.DecisionLog;
+import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.ForwardService;
 import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.LeastLoadedChooser;
@@ -30,6 +32,7 @@
     private final NodeSettings settings;
     private final HttpClientAgent client;
     private final TimeSource time;
+    private final DecisionLog log;
     private final UpstreamDirectory directory;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final Map<String, WorkerConnections> connections = new HashMap<>();
@@ -38,10 +41,11 @@
     private RoutingConfiguration configuration;
     private int nodes = 1;
 
-    ForwardDispatcher(NodeSettings settings, HttpClientAgent client, TimeSource time, UpstreamDirectory directory) {
-        this.settings = settings;
+    ForwardDispatcher(ForwardEnvironment environment, HttpClientAgent client, UpstreamDirectory directory) {
+        this.settings = environment.settings();
         this.client = client;
-        this.time = time;
+        this.time = environment.time();
+        this.log = environment.events();
         this.directory = directory;
         this.plainChooser = new LeastLoadedChooser(Rendezvous.hash(settings.nodeName()));
     }
@@ -120,11 +124,23 @@
         if (known != null) {
             forget(record.id());
         }
+        log.decided(
+                EventCode.UPSTREAM_SEEN,
+                "",
+                "worker",
+                record.id(),
+                "service",
+                record.service(),
+                "data_centre",
+                record.dataCentre(),
+                "revision",
+                record.revision());
         workers.put(record.id(), new UpstreamState(record));
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
     }
 
     private void forget(String id) {
+        log.decided(EventCode.UPSTREAM_LEAVING, "", "worker", id);
         WorkerConnections gone = connections.remove(id);
         if (gone != null) {
             gone.closeIdle();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
@@ -1,6 +1,6 @@
 package io.lagoonseam.entry.forward;
 
-import io.lagoonseam.core.audit.EventSink;
+import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.time.TimeSource;
 import io.vertx.core.Vertx;
 import java.util.Random;
@@ -13,7 +13,7 @@
  * @param protocol reads and writes headers
  * @param time the clocks
  * @param random randomness for spreading
- * @param events the sink of numbered events
+ * @param events the log of decisions
  */
 public record ForwardEnvironment(
         Vertx vertx,
@@ -21,4 +21,4 @@
         ForwardProtocol protocol,
         TimeSource time,
         Random random,
-        EventSink events) {}
+        DecisionLog events) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -69,13 +69,12 @@
         Vertx vertx = environment.vertx();
         MetricRegistry registry = new MetricRegistry();
         this.dispatcher = new ForwardDispatcher(
-                environment.settings(),
+                environment,
                 vertx.createHttpClient(new HttpClientOptions()
                         .setProtocolVersion(HttpVersion.HTTP_1_1)
                         .setKeepAlive(true)
                         .setTcpNoDelay(true)
                         .setDecompressionSupported(false)),
-                environment.time(),
                 directory);
         this.knowledge =
                 new StoreKnowledge(environment, decoder, directory, this::onConfiguration, dispatcher::refresh);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -76,6 +76,7 @@
     private boolean mayHaveRun;
     private boolean mayHaveRunBefore;
     private boolean headWritten;
+    private long firstEventMillis;
     private boolean waiting;
     private boolean done;
     private long deadlineTimer = -1;
@@ -162,14 +163,37 @@
         long deadlineDelayMillis = Math.max(1, leftMillis() + DEADLINE_GRACE_MILLIS);
         deadlineTimer = environment.vertx().setTimer(deadlineDelayMillis, timer -> onDeadline());
         dispatcher.count(service());
+        decided(
+                EventCode.REQUEST_TAKEN,
+                "route",
+                admitted.route().name(),
+                "service",
+                service(),
+                "workspace",
+                admitted.workspace(),
+                "priority",
+                priority(),
+                "lane",
+                lane(),
+                "left_ms",
+                leftMillis(),
+                "prompt_tokens",
+                prompt().tokens());
         submit();
     }
 
+    private void decided(EventCode code, Object... fields) {
+        environment.events().decided(code, admitted.head().requestId(), fields);
+    }
+
     private void submit() {
         waiting = true;
         double share = dispatcher.workers().isEmpty() ? LOST_WAIT_SHARE : WAIT_SHARE;
         long waitMillis = Math.round(share * admitted.route().objectiveMillis());
         dispatcher.submit(this, Math.min(deadlineMillis, nowMillis() + waitMillis));
+        if (waiting) {
+            decided(EventCode.REQUEST_WAITS, "longest_ms", waitMillis);
+        }
     }
 
     /** Sends the request to a chosen worker. */
@@ -182,6 +206,22 @@
         unreadTokens = choice.tokensToRead();
         worker.started(unreadTokens);
         tried.add(worker.record().id());
+        decided(
+                EventCode.REQUEST_SENT,
+                "worker",
+                worker.record().id(),
+                "reason",
+                choice.reason(),
+                "attempt",
+                tried.size(),
+                "tokens_to_read",
+                unreadTokens,
+                "tokens_ahead",
+                tokensAhead,
+                "in_flight",
+                worker.inFlight(nowMillis()),
+                "last_event",
+                lastEventId);
         answer = null;
         held = Buffer.buffer();
         splitter = new EventSplitter();
@@ -313,6 +353,7 @@
             return;
         }
         headWritten = true;
+        firstEventMillis = nowMillis() - arrivedMillis;
         response.setStatusCode(answer.status());
         response.headers().addAll(environment.protocol().callerHeaders(answerHeaders));
         response.setChunked(true);
@@ -336,7 +377,18 @@
     }
 
     private void observe(UpstreamTrust.Outcome outcome) {
+        boolean aside = worker.trust().aside();
         worker.trust().observe(outcome, nowMillis());
+        if (aside != worker.trust().aside()) {
+            decided(
+                    aside ? EventCode.UPSTREAM_BACK : EventCode.UPSTREAM_SET_ASIDE,
+                    "worker",
+                    worker.record().id(),
+                    "service",
+                    service(),
+                    "outcome",
+                    outcome);
+        }
     }
 
     private void endAttempt() {
@@ -358,67 +410,105 @@
                             ? UpstreamTrust.Outcome.SILENT
                             : UpstreamTrust.Outcome.FAILED);
         }
-        environment.events().record(EventCode.UPSTREAM_ERROR, describe(result));
+        decided(
+                EventCode.ATTEMPT_FAILED,
+                "worker",
+                worker.record().id(),
+                "result",
+                result,
+                "verdict",
+                result.verdict().label(),
+                "after_ms",
+                nowMillis() - sentMillis,
+                "last_event",
+                lastEventId);
         decide(result);
     }
 
-    private String describe(AttemptResult result) {
-        return "request " + admitted.head().requestId() + " at "
-                + worker.record().id() + ": " + result;
-    }
-
     private void decide(AttemptResult result) {
         if (done) {
             return;
         }
         AttemptPolicy.History history = new AttemptPolicy.History(
                 kind(), admitted.route().maxAttempts(), arrivals, connectFailures, mayHaveRun, leftMillis());
-        NextStep step = AttemptPolicy.next(result, history, () -> dispatcher.tryRepeat(service()));
+        NextStep step = AttemptPolicy.next(result, history, this::tryRepeat);
         switch (step) {
             case SEND_AGAIN -> submit();
             case PASS_ANSWER -> passAnswer();
-            case REFUSE -> refuse();
-            case FAIL -> fail(result instanceof AttemptResult.Silent ? GATEWAY_TIMEOUT : BAD_GATEWAY);
+            case REFUSE -> refuse(result.toString());
+            case FAIL ->
+                fail(result instanceof AttemptResult.Silent ? GATEWAY_TIMEOUT : BAD_GATEWAY, result.toString());
         }
         dispatcher.pump();
     }
 
+    private boolean tryRepeat() {
+        boolean taken = dispatcher.tryRepeat(service());
+        decided(
+                taken ? EventCode.REPEAT_TAKEN : EventCode.RETRY_BUDGET_SPENT,
+                "service",
+                service(),
+                "nodes",
+                dispatcher.nodes());
+        return taken;
+    }
+
     private void passAnswer() {
         if (kind().stream() && succeeds()) {
             writeHead();
             response.end(splitter.rest());
         } else if (headWritten) {
-            breakOff();
+            breakOff("a resumed stream ended with status " + answer.status());
             return;
         } else {
             response.setStatusCode(answer.status());
             response.headers().addAll(environment.protocol().callerHeaders(answerHeaders));
             response.end(held);
         }
+        decided(
+                EventCode.REQUEST_ANSWERED,
+                "status",
+                answer.status(),
+                "worker",
+                worker.record().id(),
+                "after_ms",
+                nowMillis() - arrivedMillis,
+                "first_event_ms",
+                firstEventMillis,
+                "arrivals",
+                arrivals);
         finish();
     }
 
     /** Gives the request up while it has surely not run. */
-    private void refuse() {
+    private void refuse(String reason) {
         long pauseMillis =
                 RetryAfter.millis(0, leftMillis(), environment.random().nextDouble());
-        answerOwn(SERVICE_UNAVAILABLE, pauseMillis);
+        answerOwn(SERVICE_UNAVAILABLE, pauseMillis, reason);
     }
 
-    private void fail(int status) {
-        answerOwn(status, 0);
+    private void fail(int status, String reason) {
+        answerOwn(status, 0, reason);
     }
 
-    private void answerOwn(int status, long retryAfterMillis) {
+    private void answerOwn(int status, long retryAfterMillis, String reason) {
         if (headWritten) {
-            breakOff();
+            breakOff(reason);
             return;
         }
-        environment
-                .events()
-                .record(
-                        status == SERVICE_UNAVAILABLE ? EventCode.NO_UPSTREAM : EventCode.UPSTREAM_ERROR,
-                        "request " + admitted.head().requestId() + " ended with " + status);
+        boolean refused = status == SERVICE_UNAVAILABLE;
+        decided(
+                refused ? EventCode.REQUEST_REFUSED : EventCode.REQUEST_FAILED,
+                "status",
+                status,
+                "reason",
+                reason,
+                "after_ms",
+                nowMillis() - arrivedMillis,
+                "arrivals",
+                arrivals,
+                "retry_after_ms",
+                retryAfterMillis);
         response.setStatusCode(status);
         environment.protocol().own(response.headers(), admitted.head().requestId(), retryAfterMillis);
         response.end();
@@ -426,7 +516,17 @@
     }
 
     /** Closes the caller's connection in the middle of an answer, so that the answer does not look complete. */
-    private void breakOff() {
+    private void breakOff(String reason) {
+        decided(
+                EventCode.REQUEST_FAILED,
+                "status",
+                answer == null ? 0 : answer.status(),
+                "reason",
+                "broken off: " + reason,
+                "after_ms",
+                nowMillis() - arrivedMillis,
+                "last_event",
+                lastEventId);
         finish();
         request.connection().close();
     }
@@ -434,10 +534,11 @@
     /** The request has waited for so long that it is refused. */
     void onWaitedTooLong() {
         waiting = false;
+        String reason = "no place within the longest wait";
         if (mayHaveRun) {
-            fail(BAD_GATEWAY);
+            fail(BAD_GATEWAY, reason);
         } else {
-            refuse();
+            refuse(reason);
         }
     }
 
@@ -448,14 +549,15 @@
         boolean unsent = waiting && !mayHaveRun;
         abandon();
         if (unsent) {
-            refuse();
+            refuse("the deadline passed while it waited");
         } else {
-            fail(GATEWAY_TIMEOUT);
+            fail(GATEWAY_TIMEOUT, "the deadline passed");
         }
     }
 
     private void onCallerGone() {
         if (!done) {
+            decided(EventCode.CALLER_GONE, "after_ms", nowMillis() - arrivedMillis, "arrivals", arrivals);
             abandon();
             finish();
         }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -230,7 +230,6 @@
                 return;
             }
             if (stop.isPresent() && !stop.get().takes(route.get(), arrivedMillis)) {
-                environment.events().record(EventCode.NODE_LEAVING, "request " + head.requestId());
                 answer(head, SERVICE_UNAVAILABLE, STOPPING_PAUSE_MILLIS);
                 return;
             }
@@ -267,6 +266,18 @@
         }
 
         private void answer(CallerHead head, int status, long retryAfterMillis) {
+            environment
+                    .events()
+                    .decided(
+                            EventCode.REQUEST_REJECTED,
+                            head.requestId(),
+                            "status",
+                            status,
+                            "configuration",
+                            configuration
+                                    .get()
+                                    .map(RoutingConfiguration::version)
+                                    .orElse(-1L));
             request.response().setStatusCode(status);
             environment.protocol().own(request.response().headers(), head.requestId(), retryAfterMillis);
             request.response().end();
@@ -280,6 +291,15 @@
             if (!request.response().ended() && !request.response().closed()) {
                 request.response().setStatusCode(status).putHeader("Connection", "close");
                 CallerHead head = environment.protocol().caller(request.headers());
+                environment
+                        .events()
+                        .decided(
+                                EventCode.REQUEST_REJECTED,
+                                head.requestId(),
+                                "status",
+                                status,
+                                "body_bytes",
+                                body.length());
                 environment.protocol().own(request.response().headers(), head.requestId(), retryAfterMillis);
                 request.response()
                         .end()
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -46,6 +46,7 @@
     private final IntConsumer onCount;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean leaving;
+    private boolean storeAnswers = true;
 
     private static final class Node {
         private final PeerAddress address;
@@ -231,11 +232,14 @@
 
     @Override
     public void failed(String reason) {
-        environment.events().record(EventCode.PLATFORM_UNREACHABLE, "nodes: " + reason);
+        if (storeAnswers) {
+            storeAnswers = false;
+            environment.events().record(EventCode.PLATFORM_UNREACHABLE, "nodes: " + reason);
+        }
     }
 
     @Override
     public void answered() {
-        // nothing here depends on when the store last answered
+        storeAnswers = true;
     }
 }
--- /dev/null
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/log/JsonLineLogTest.java
@@ -0,0 +1,76 @@
+package io.lagoonseam.entry.log;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.time.ManualTimeSource;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Checks the form of lines, the budget, and that a stalled output delays nothing. */
+public class JsonLineLogTest {
+
+    @Test
+    public void aLineIsOneJsonObject() throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        JsonLineLog log = new JsonLineLog("n1", new ManualTimeSource(), lines::add);
+        log.decided(EventCode.REQUEST_SENT, "r\"1", "worker", "w\n1", "tokens", 12, "copy", true);
+        log.close();
+        JsonNode line = new ObjectMapper().readTree(lines.get(0));
+        assertEquals(line.path("event").asInt(), EventCode.REQUEST_SENT.number());
+        assertEquals(line.path("request").asText(), "r\"1");
+        assertEquals(line.path("worker").asText(), "w\n1");
+        assertEquals(line.path("tokens").asInt(), 12);
+        assertTrue(line.path("copy").asBoolean());
+    }
+
+    @Test
+    public void aFloodKeepsFailuresAndCountsWhatIsDropped() throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        JsonLineLog log = new JsonLineLog("n1", new ManualTimeSource(), lines::add);
+        for (int index = 0; index < 5_000; index++) {
+            log.decided(EventCode.REQUEST_TAKEN, "r" + index);
+            if (index % 50 == 0) {
+                log.decided(EventCode.REQUEST_FAILED, "r" + index);
+            }
+        }
+        log.close();
+        long failures =
+                lines.stream().filter(line -> line.contains("REQUEST_FAILED\"")).count();
+        long taken =
+                lines.stream().filter(line -> line.contains("REQUEST_TAKEN\"")).count();
+        assertEquals(failures, 100);
+        assertTrue(taken < 1_000, "within the budget: " + taken);
+        String counts = lines.stream()
+                .filter(line -> line.contains("LOG_DROPPED"))
+                .findFirst()
+                .orElse("");
+        assertTrue(counts.contains("REQUEST_TAKEN=" + (5_000 - taken)), counts);
+    }
+
+    @Test
+    public void aStalledOutputDelaysNothing() throws Exception {
+        CountDownLatch stalled = new CountDownLatch(1);
+        JsonLineLog log = new JsonLineLog("n1", new ManualTimeSource(), line -> {
+            try {
+                stalled.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        long begunNanos = System.nanoTime();
+        for (int index = 0; index < 20_000; index++) {
+            log.decided(EventCode.REQUEST_FAILED, "r" + index);
+        }
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begunNanos);
+        stalled.countDown();
+        log.close();
+        assertTrue(millis < 5_000, "20,000 lines took " + millis + " ms");
+    }
+}
