--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.deployment;
 
+import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
 import io.lagoonseam.entry.forward.ForwardNode;
@@ -156,7 +157,8 @@
                 new HeaderProtocol(),
                 new SystemTimeSource(),
                 new Random(nodes.size()),
-                new JsonLineLog(name, new SystemTimeSource(), events));
+                new JsonLineLog(name, new SystemTimeSource(), events),
+                new MetricRegistry());
         ForwardNode node = new ForwardNode(
                 environment,
                 new HttpCollectionStore(vertx, settings.store()),
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/ExplainCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/ExplainCommand.java
@@ -20,18 +20,28 @@
 
     @Override
     public String summary() {
-        return "Print what the node that served a request decided: class, wait, workers weighed, attempts, verdict";
+        return "Print the way of a request: from the node that served it, or from the logs of several nodes";
     }
 
     @Override
     public Options options() {
         return new Options()
-                .addOption(CommandOptions.required("node", "URL", "The node's operators' address, http://IP:PORT"));
+                .addOption(CommandOptions.of("node", "URL", "The node's operators' address, http://IP:PORT"))
+                .addOption(
+                        CommandOptions.of("logs", "FILES", "Logs of nodes, separated by commas; - is standard input"));
     }
 
     @Override
     public int run(CommandLine line, PrintStream out, PrintStream err) throws Exception {
         String id = CommandOptions.onlyArgument(line, arguments());
+        if (line.hasOption("logs")) {
+            return new LogExplainer(id).explain(line.getOptionValue("logs"), System.in, out)
+                    ? ExitCode.DONE
+                    : ExitCode.FAILED;
+        }
+        if (!line.hasOption("node")) {
+            throw new UsageException("needs --node or --logs");
+        }
         JsonObject body = new JsonObject(HttpReader.read(line.getOptionValue("node") + "/requests/" + id));
         if (body.containsKey("error")) {
             err.println(body.getString("error"));
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.cli;
 
+import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
@@ -74,7 +75,13 @@
                 new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         JsonLineLog events = new JsonLineLog(settings.nodeName(), new SystemTimeSource());
         ForwardEnvironment environment = new ForwardEnvironment(
-                vertx, settings, new HeaderProtocol(), new SystemTimeSource(), new Random(), events);
+                vertx,
+                settings,
+                new HeaderProtocol(),
+                new SystemTimeSource(),
+                new Random(),
+                events,
+                new MetricRegistry());
         CountDownLatch stopped = new CountDownLatch(1);
         ForwardNode node = new ForwardNode(
                 environment, new HttpCollectionStore(vertx, settings.store()), new JsonRecordDecoder(), metrics);
--- /dev/null
+++ b/lagoonseam-cli/src/test/java/io/lagoonseam/cli/LogExplainerTest.java
@@ -0,0 +1,49 @@
+package io.lagoonseam.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.Test;
+
+/** Reads the way of one request out of the lines of several nodes. */
+public class LogExplainerTest {
+
+    private static final String LINES = String.join(
+            "\n",
+            "  3.1 node-1 {\"time\":30,\"node\":\"node-1\",\"event\":432,\"name\":\"REQUEST_FAILED\",\"request\":\"r1\",\"status\":502}",
+            "{\"time\":10,\"node\":\"node-1\",\"event\":211,\"name\":\"REQUEST_TAKEN\",\"request\":\"r1\"}",
+            "{\"time\":12,\"node\":\"node-1\",\"event\":211,\"name\":\"REQUEST_TAKEN\",\"request\":\"r2\",\"note\":\"r1\"}",
+            "{\"time\":20,\"node\":\"node-1\",\"event\":430,\"name\":\"REQUEST_SENT\",\"request\":\"r1\",\"worker\":\"w1\"}",
+            "{\"time\":21,\"node\":\"r1",
+            "no object at all");
+
+    private static String explain(String id, boolean found) throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        boolean any = new LogExplainer(id)
+                .explain(
+                        "-",
+                        new ByteArrayInputStream(LINES.getBytes(StandardCharsets.UTF_8)),
+                        new PrintStream(out, true, StandardCharsets.UTF_8));
+        assertEquals(any, found);
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void theLinesOfARequestComeInTheirOrder() throws Exception {
+        String[] lines = explain("r1", true).split("\n");
+        assertEquals(lines.length, 3);
+        assertTrue(lines[0].contains("REQUEST_TAKEN"));
+        assertTrue(lines[1].contains("10 ms") && lines[1].contains("worker=w1"), lines[1]);
+        assertTrue(lines[2].contains("20 ms") && lines[2].contains("status=502"), lines[2]);
+    }
+
+    @Test
+    public void anUnknownRequestIsSaidSo() throws Exception {
+        assertFalse(explain("r9", false).isEmpty());
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.entry.forward;
 
+import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.time.TimeSource;
 import io.vertx.core.Vertx;
@@ -14,6 +15,7 @@
  * @param time the clocks
  * @param random randomness for spreading
  * @param events the log of decisions
+ * @param registry the metrics
  */
 public record ForwardEnvironment(
         Vertx vertx,
@@ -21,4 +23,5 @@
         ForwardProtocol protocol,
         TimeSource time,
         Random random,
-        DecisionLog events) {}
+        DecisionLog events,
+        MetricRegistry registry) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -67,7 +67,8 @@
         this.environment = environment;
         this.metricsAddress = metricsAddress;
         Vertx vertx = environment.vertx();
-        MetricRegistry registry = new MetricRegistry();
+        MetricRegistry registry = environment.registry();
+        RequestMetrics metrics = new RequestMetrics(registry);
         this.dispatcher = new ForwardDispatcher(
                 environment,
                 vertx.createHttpClient(new HttpClientOptions()
@@ -78,7 +79,10 @@
                 directory);
         this.knowledge =
                 new StoreKnowledge(environment, decoder, directory, this::onConfiguration, dispatcher::refresh);
-        this.front = new FrontServer(environment, dispatcher, knowledge::configuration);
+        this.front = new FrontServer(environment, dispatcher, knowledge::configuration, metrics);
+        metrics.gauge("requests.in_flight", front::inFlight);
+        metrics.gauge("nodes.alive", dispatcher::nodes);
+        metrics.gauge("workers.serving", () -> dispatcher.workers().size());
         this.operations = new OperationsServer(vertx, this::ready, registry);
         this.nodes = new NodeDirectory(environment, store, dispatcher::nodes);
         this.transport = new VertxPeerTransport(new PeerTransportOptions(
@@ -92,14 +96,23 @@
                 environment.events()));
         this.exchange = new PeerExchange(environment, transport, dispatcher, nodes, knowledge);
         this.followers = List.of(
-                follower(store, CollectionStore.CONFIGURATION, knowledge.configurationListener()),
-                follower(store, CollectionStore.UPSTREAMS, knowledge.upstreamListener()),
-                follower(store, CollectionStore.NODES, nodes));
+                follower(
+                        store,
+                        CollectionStore.CONFIGURATION,
+                        knowledge.configurationListener(),
+                        CollectionFollower.PROMPT_WATCH_MILLIS),
+                follower(
+                        store,
+                        CollectionStore.UPSTREAMS,
+                        knowledge.upstreamListener(),
+                        CollectionFollower.PROMPT_WATCH_MILLIS),
+                follower(store, CollectionStore.NODES, nodes, CollectionFollower.PATIENT_WATCH_MILLIS));
     }
 
     private CollectionFollower follower(
-            CollectionStore store, String collection, CollectionFollower.Listener listener) {
-        return new CollectionFollower(environment.vertx(), store, collection, listener, environment.random());
+            CollectionStore store, String collection, CollectionFollower.Listener listener, long watchMillis) {
+        return new CollectionFollower(
+                environment.vertx(), store, collection, listener, environment.random(), watchMillis);
     }
 
     private void onConfiguration(RoutingConfiguration configuration) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -18,6 +18,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -53,6 +54,7 @@
 
     private final ForwardEnvironment environment;
     private final ForwardDispatcher dispatcher;
+    private final RequestMetrics metrics;
     private final Admitted admitted;
     private final HttpServerRequest request;
     private final HttpServerResponse response;
@@ -97,6 +99,7 @@
     ForwardedRequest(
             ForwardEnvironment environment,
             ForwardDispatcher dispatcher,
+            RequestMetrics metrics,
             Admitted admitted,
             HttpServerRequest request,
             Buffer body,
@@ -104,6 +107,7 @@
             Runnable onDone) {
         this.environment = environment;
         this.dispatcher = dispatcher;
+        this.metrics = metrics;
         this.admitted = admitted;
         this.request = request;
         this.response = request.response();
@@ -377,6 +381,7 @@
     }
 
     private void observe(UpstreamTrust.Outcome outcome) {
+        metrics.attemptEnded(worker.record().id(), outcome.name().toLowerCase(Locale.ROOT));
         boolean aside = worker.trust().aside();
         worker.trust().observe(outcome, nowMillis());
         if (aside != worker.trust().aside()) {
@@ -477,7 +482,7 @@
                 firstEventMillis,
                 "arrivals",
                 arrivals);
-        finish();
+        finish(RequestMetrics.Outcome.ANSWERED, answer.status());
     }
 
     /** Gives the request up while it has surely not run. */
@@ -512,7 +517,7 @@
         response.setStatusCode(status);
         environment.protocol().own(response.headers(), admitted.head().requestId(), retryAfterMillis);
         response.end();
-        finish();
+        finish(refused ? RequestMetrics.Outcome.REFUSED : RequestMetrics.Outcome.FAILED, status);
     }
 
     /** Closes the caller's connection in the middle of an answer, so that the answer does not look complete. */
@@ -527,7 +532,7 @@
                 nowMillis() - arrivedMillis,
                 "last_event",
                 lastEventId);
-        finish();
+        finish(RequestMetrics.Outcome.FAILED, 0);
         request.connection().close();
     }
 
@@ -559,7 +564,7 @@
         if (!done) {
             decided(EventCode.CALLER_GONE, "after_ms", nowMillis() - arrivedMillis, "arrivals", arrivals);
             abandon();
-            finish();
+            finish(RequestMetrics.Outcome.LEFT, 0);
         }
     }
 
@@ -574,8 +579,15 @@
         }
     }
 
-    private void finish() {
+    private void finish(RequestMetrics.Outcome outcome, int status) {
         done = true;
+        metrics.ended(
+                admitted.route().name(),
+                admitted.workspace(),
+                outcome,
+                status,
+                nowMillis() - arrivedMillis,
+                firstEventMillis);
         environment.vertx().cancelTimer(deadlineTimer);
         environment.vertx().cancelTimer(silenceTimer);
         onDone.run();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -48,6 +48,7 @@
     private final ForwardDispatcher dispatcher;
     private final Supplier<Optional<RoutingConfiguration>> configuration;
     private final Map<HttpConnection, Caller> callers = new HashMap<>();
+    private final RequestMetrics metrics;
     private final long bodyBytesLimit;
     private final HttpServerOptions options = new HttpServerOptions()
             .setMaxHeaderSize(HEADER_BYTES)
@@ -72,8 +73,10 @@
     FrontServer(
             ForwardEnvironment environment,
             ForwardDispatcher dispatcher,
-            Supplier<Optional<RoutingConfiguration>> configuration) {
+            Supplier<Optional<RoutingConfiguration>> configuration,
+            RequestMetrics metrics) {
         this.environment = environment;
+        this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.configuration = configuration;
         this.bodyBytesLimit = Math.round(
@@ -246,6 +249,7 @@
             new ForwardedRequest(
                             environment,
                             dispatcher,
+                            metrics,
                             new ForwardedRequest.Admitted(
                                     head,
                                     route.get(),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -14,7 +14,10 @@
      * The longest wait of a watch, in milliseconds. A watch that went silent is noticed when it is over, so it is short
      * against the time in which a change has to be in force after a connection was lost.
      */
-    private static final long WATCH_MILLIS = 4_000;
+    public static final long PROMPT_WATCH_MILLIS = 4_000;
+
+    /** The longest wait where a late change does no harm, in milliseconds: what the store allows at the most. */
+    public static final long PATIENT_WATCH_MILLIS = 25_000;
 
     /** The pause after the first failed call, in milliseconds: about ten answers of a healthy store. */
     private static final long FIRST_PAUSE_MILLIS = 40;
@@ -27,6 +30,7 @@
     private final String collection;
     private final Listener listener;
     private final Random random;
+    private final long watchMillis;
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean stopped;
@@ -76,6 +80,7 @@
         this.collection = collection;
         this.listener = listener;
         this.random = random;
+        this.watchMillis = watchMillis;
     }
 
     /** Starts to follow. */
@@ -110,7 +115,7 @@
 
     private void watch() {
         if (!stopped) {
-            store.watch(collection, revision, WATCH_MILLIS).onSuccess(this::onChanged);
+            store.watch(collection, revision, watchMillis).onSuccess(this::onChanged);
         }
     }
 
