--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -73,8 +73,10 @@
      * @param collection the collection
      * @param listener hears what is in it
      * @param random spreads the calls of several nodes
+     * @param watchMillis the longest wait of a watch, in milliseconds
      */
-    public CollectionFollower(Vertx vertx, CollectionStore store, String collection, Listener listener, Random random) {
+    public CollectionFollower(
+            Vertx vertx, CollectionStore store, String collection, Listener listener, Random random, long watchMillis) {
         this.vertx = vertx;
         this.store = store;
         this.collection = collection;
