A rejection leaves the attempts of a route alone; a replaced worker is set aside at once

Only runs count as attempts now; a rejection takes from the repeat budget and at most three are met.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/AttemptPolicy.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/AttemptPolicy.java
@@ -11,6 +11,9 @@
     /** The connections that one request tries without an arrival: a few, so that a dead data centre is passed over. */
     private static final int CONNECT_TRIES = 4;
 
+    /** The workers that may reject one request: a few, since one of them after the other may be full or replaced. */
+    private static final int REJECTIONS = 3;
+
     /** The least time that is worth another attempt, in milliseconds: the way to a worker and back. */
     private static final long LEAST_MILLIS = 15;
 
@@ -20,14 +23,19 @@
      * The history of a request.
      *
      * @param kind how often its work may run
-     * @param maxAttempts the most workers that it may arrive at
-     * @param arrivals the workers at which it has arrived or may have
+     * @param maxAttempts the most workers that may run it
+     * @param runs the workers that have run it or may have
+     * @param rejections the workers that proved that they did not run it
      * @param connectFailures the connections that were not made
-     * @param mayHaveRun whether an attempt may have had an effect
      * @param leftMillis the time that is left to it
      */
     public record History(
-            WorkKind kind, int maxAttempts, int arrivals, int connectFailures, boolean mayHaveRun, long leftMillis) {}
+            WorkKind kind, int maxAttempts, int runs, int rejections, int connectFailures, long leftMillis) {
+
+        boolean mayHaveRun() {
+            return runs > 0;
+        }
+    }
 
     /** Takes one repeat of the budget; asked only when all else allows the send. */
     @FunctionalInterface
@@ -54,7 +62,7 @@
             boolean failed = answered.status() >= 500;
             boolean repeat = failed
                     && history.kind() == WorkKind.IDEMPOTENT
-                    && history.arrivals() < history.maxAttempts()
+                    && history.runs() < history.maxAttempts()
                     && history.leftMillis() >= LEAST_MILLIS
                     && allowance.tryTake();
             return repeat ? NextStep.SEND_AGAIN : NextStep.PASS_ANSWER;
@@ -65,9 +73,11 @@
         if (!allowed) {
             return end;
         }
-        if (result.verdict() instanceof Verdict.NotRun && history.arrivals() == 0) {
+        if (result.verdict() instanceof Verdict.NotRun && history.runs() + history.rejections() == 0) {
             return history.connectFailures() < CONNECT_TRIES ? NextStep.SEND_AGAIN : end;
         }
-        return history.arrivals() < history.maxAttempts() && allowance.tryTake() ? NextStep.SEND_AGAIN : end;
+        // a rejection is no run, so it leaves the attempts of the route alone, but each send takes from the budget
+        boolean further = history.runs() < history.maxAttempts() && history.rejections() < REJECTIONS;
+        return further && allowance.tryTake() ? NextStep.SEND_AGAIN : end;
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamTrust.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamTrust.java
@@ -39,7 +39,9 @@
         /** An answer that says that the worker failed, or a broken one. */
         FAILED,
         /** No connection, or no answer in time. */
-        SILENT
+        SILENT,
+        /** Another worker answers at the address, so this one is gone. */
+        REPLACED
     }
 
     /**
@@ -83,8 +85,10 @@
             restore();
             return;
         }
+        boolean replaced = outcome == Outcome.REPLACED;
         boolean failing = outcomes >= ENOUGH_OUTCOMES && failures > FAILING_SHARE * outcomes;
-        if (outcome != Outcome.ANSWERED && (trying || !aside && (failing || silences >= SILENCES_IN_A_ROW))) {
+        if (outcome != Outcome.ANSWERED
+                && (trying || !aside && (replaced || failing || silences >= SILENCES_IN_A_ROW))) {
             setAside(nowMillis);
         }
         trying = false;
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/AttemptPolicyTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/AttemptPolicyTest.java
@@ -12,7 +12,8 @@
     private static final AttemptResult BROKEN = new AttemptResult.Broken("reset");
 
     private static AttemptPolicy.History history(WorkKind kind, int arrivals, boolean mayHaveRun) {
-        return new AttemptPolicy.History(kind, 2, arrivals, arrivals == 0 ? 1 : 0, mayHaveRun, 500);
+        int runs = mayHaveRun ? arrivals : 0;
+        return new AttemptPolicy.History(kind, 2, runs, arrivals - runs, arrivals == 0 ? 1 : 0, 500);
     }
 
     private static NextStep next(AttemptResult result, AttemptPolicy.History history) {
@@ -74,6 +75,16 @@
         }
     }
 
+    @Test
+    public void aRejectionLeavesTheOnlyAttemptOfARoute() {
+        // seen on cuts-and-resets: a replaced worker answered 421 and the caller got 503, with other workers free
+        AttemptPolicy.History rejected = new AttemptPolicy.History(WorkKind.STREAM, 1, 0, 1, 0, 500);
+        assertEquals(AttemptPolicy.next(FULL, rejected, () -> true), NextStep.SEND_AGAIN);
+        assertEquals(AttemptPolicy.next(FULL, rejected, () -> false), NextStep.REFUSE);
+        AttemptPolicy.History often = new AttemptPolicy.History(WorkKind.STREAM, 1, 0, 3, 0, 500);
+        assertEquals(AttemptPolicy.next(FULL, often, () -> true), NextStep.REFUSE);
+    }
+
     @Test
     public void connectionsThatFailDoNotTakeFromTheBudget() {
         assertEquals(
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/UpstreamTrustTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/UpstreamTrustTest.java
@@ -58,4 +58,12 @@
         assertFalse(trust.trusted(1_900));
         assertTrue(trust.trusted(2_500));
     }
+
+    @Test
+    public void aReplacedWorkerIsSetAsideAtOnce() {
+        UpstreamTrust trust = new UpstreamTrust();
+        trust.observe(UpstreamTrust.Outcome.ANSWERED, 0);
+        trust.observe(UpstreamTrust.Outcome.REPLACED, 1);
+        assertTrue(trust.aside());
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -73,10 +73,9 @@
     private long sentMillis;
     private AnswerHead answer;
     private MultiMap answerHeaders;
-    private int arrivals;
+    private int runs;
+    private int rejections;
     private int connectFailures;
-    private boolean mayHaveRun;
-    private boolean mayHaveRunBefore;
     private boolean headWritten;
     private long firstEventMillis;
     private boolean waiting;
@@ -259,9 +258,7 @@
 
     @Override
     public void onSent() {
-        arrivals++;
-        mayHaveRunBefore = mayHaveRun;
-        mayHaveRun = true;
+        runs++;
         sentMillis = nowMillis();
         if (kind().repeatable()) {
             long patienceMillis =
@@ -286,7 +283,7 @@
         long sinceMillis = sentMillis;
         UpstreamAttempt silent = attempt;
         String workerId = worker.record().id();
-        if (arrivals < admitted.route().maxAttempts() && leftMillis() > 0) {
+        if (runs < admitted.route().maxAttempts() && leftMillis() > 0) {
             silent.cancel();
             dispatcher.connections(workerId).ifPresent(connections -> connections.doubt(sinceMillis));
             onFailure(new AttemptResult.Silent());
@@ -367,7 +364,11 @@
     public void onEnd() {
         endAttempt();
         if (answer.notRun() || answer.wrongWorker()) {
-            mayHaveRun = mayHaveRunBefore;
+            runs--;
+            rejections++;
+            if (answer.wrongWorker()) {
+                observe(UpstreamTrust.Outcome.REPLACED);
+            }
             decide(new AttemptResult.NotRun("status " + answer.status(), true));
             return;
         }
@@ -435,7 +436,7 @@
             return;
         }
         AttemptPolicy.History history = new AttemptPolicy.History(
-                kind(), admitted.route().maxAttempts(), arrivals, connectFailures, mayHaveRun, leftMillis());
+                kind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, leftMillis());
         NextStep step = AttemptPolicy.next(result, history, this::tryRepeat);
         switch (step) {
             case SEND_AGAIN -> submit();
@@ -481,7 +482,7 @@
                 "first_event_ms",
                 firstEventMillis,
                 "arrivals",
-                arrivals);
+                runs + rejections);
         finish(RequestMetrics.Outcome.ANSWERED, answer.status());
     }
 
@@ -511,7 +512,7 @@
                 "after_ms",
                 nowMillis() - arrivedMillis,
                 "arrivals",
-                arrivals,
+                runs + rejections,
                 "retry_after_ms",
                 retryAfterMillis);
         response.setStatusCode(status);
@@ -540,7 +541,7 @@
     void onWaitedTooLong() {
         waiting = false;
         String reason = "no place within the longest wait";
-        if (mayHaveRun) {
+        if (runs > 0) {
             fail(BAD_GATEWAY, reason);
         } else {
             refuse(reason);
@@ -551,7 +552,7 @@
         if (done) {
             return;
         }
-        boolean unsent = waiting && !mayHaveRun;
+        boolean unsent = waiting && runs == 0;
         abandon();
         if (unsent) {
             refuse("the deadline passed while it waited");
@@ -562,7 +563,7 @@
 
     private void onCallerGone() {
         if (!done) {
-            decided(EventCode.CALLER_GONE, "after_ms", nowMillis() - arrivedMillis, "arrivals", arrivals);
+            decided(EventCode.CALLER_GONE, "after_ms", nowMillis() - arrivedMillis, "arrivals", runs + rejections);
             abandon();
             finish(RequestMetrics.Outcome.LEFT, 0);
         }
