--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -10,13 +10,13 @@
 import io.lagoonseam.platform.HttpCollectionStore;
 import io.lagoonseam.platform.JsonRecordDecoder;
 import io.lagoonseam.platform.PlatformSettings;
+import io.lagoonseam.standin.operator.PlatformTexts;
 import io.lagoonseam.standin.store.StoreStandIn;
 import io.lagoonseam.standin.worker.WorkerOptions;
 import io.lagoonseam.standin.worker.WorkerStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -37,7 +37,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 /** Nodes over the stand-ins of store and workers, all on the loopback address and in one process. */
 public final class LocalDeployment implements AutoCloseable {
@@ -47,6 +46,7 @@
     /** A key of the workspace that the configuration names. */
     public static final String KEY = "key-1";
 
+    private static final long STOP_SECONDS = 8;
     private static final long WAIT_MILLIS = 10_000;
 
     private final Vertx standIns = Vertx.vertx();
@@ -137,19 +137,19 @@
      * @return the node
      */
     public Node start() {
-        return start(new NodeSettings.Bounds(8_000, 0.2, 10_000, 50), List.of());
+        return start(STOP_SECONDS, List.of());
     }
 
     /**
      * Starts a node.
      *
-     * @param bounds what the deployment asks for
+     * @param stopSeconds the time to stop
      * @param seeds the hosts of other nodes
      * @return the node
      */
-    public Node start(NodeSettings.Bounds bounds, List<String> seeds) {
+    public Node start(long stopSeconds, List<String> seeds) {
         String name = "node-" + (nodes.size() + 1);
-        NodeSettings settings = settings(name, bounds, seeds);
+        NodeSettings settings = settings(name, stopSeconds, seeds);
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
@@ -171,20 +171,10 @@
     }
 
     /** Writes the settings as the platform would, and reads them as a node does. */
-    private NodeSettings settings(String name, NodeSettings.Bounds bounds, List<String> seeds) {
-        int peerPort = freePort();
-        String text = "node_name = \"" + name + "\"\nip = \"" + HOST + "\"\nzone = \"dc-1\"\n"
-                + "internal_ports = [" + peerPort + ", " + (peerPort + 1) + "]\n"
-                + "seed_nodes = ["
-                + seeds.stream().map(seed -> '"' + seed + ":1\"").collect(Collectors.joining(", "))
-                + "]\n[listen]\nfront = \"" + HOST + ":" + freePort() + "\"\n"
-                + "ready = \"" + HOST + ":" + freePort() + "\"\n"
-                + "[limits]\nmemory_mb = 280\nmax_fds = 4000\n"
-                + "[bounds]\ngrace_s = " + TimeUnit.MILLISECONDS.toSeconds(bounds.stopMillis())
-                + "\nretry_budget_ratio = " + bounds.repeatRatio()
-                + "\nbudget_window_s = " + bounds.repeatWindowMillis() / 1_000.0
-                + "\nretry_budget_slack = " + bounds.repeatSlack()
-                + "\n[platform]\naddress = \"" + HOST + ":" + store.port() + "\"\n";
+    private NodeSettings settings(String name, long stopSeconds, List<String> seeds) {
+        PlatformTexts.Addresses addresses =
+                new PlatformTexts.Addresses(HOST, freePort(), freePort(), freePort(), store.port());
+        String text = PlatformTexts.settings(name, addresses, stopSeconds, seeds);
         List<String> errors = new ArrayList<>();
         try {
             Path file = Files.createTempFile("lagoonseam-node", ".toml");
@@ -203,7 +193,7 @@
      * @return its version
      */
     public long configure() {
-        return configure(route("chat", "/chat/", "streaming", "llm", 4_000).put("sticky_sessions", true));
+        return configure(new JsonObject[0]);
     }
 
     /**
@@ -213,72 +203,14 @@
      * @return its version
      */
     public long configure(JsonObject... extra) {
-        JsonArray routes = new JsonArray()
-                .add(route("read", "/read/", "safe", "app", 1_500).put("max_attempts", 2))
-                .add(route("pay", "/pay/", "unsafe", "app", 1_500))
-                .add(route("talk", "/talk/", "streaming", "llm", 6_000)
-                        .put("stream_resume", true)
-                        .put("max_attempts", 2)
-                        .put("sticky_sessions", true));
-        for (JsonObject route : extra) {
-            routes.add(route);
-        }
-        return apply(routes);
-    }
-
-    /**
-     * Applies a configuration with these routes only.
-     *
-     * @param routes the routes
-     * @return its version
-     */
-    public long apply(JsonArray routes) {
+        List<JsonObject> routes = new ArrayList<>(PlatformTexts.routes(HOST));
+        routes.addAll(List.of(extra));
         version += 3;
         long applied = version;
-        JsonObject configuration = new JsonObject()
-                .put("version", applied)
-                .put("routes", routes)
-                .put(
-                        "services",
-                        new JsonArray()
-                                .add(new JsonObject().put("name", "app").put("max_connections", 90))
-                                .add(new JsonObject()
-                                        .put("name", "llm")
-                                        .put("max_connections", 90)
-                                        .put("engine", new JsonObject().put("slots", 16))))
-                .put("limits", new JsonObject().put("max_body_bytes", 100_000).put("idle_timeout_ms", 5_000))
-                .put(
-                        "tenants",
-                        new JsonArray()
-                                .add(new JsonObject().put("name", "studio").put("api_keys", new JsonArray().add(KEY))));
-        inStore(() -> store.put("config", "main", configuration));
+        inStore(() -> store.put("config", "main", PlatformTexts.configuration(applied, routes, KEY)));
         return applied;
     }
 
-    /**
-     * Makes a route.
-     *
-     * @param name its name
-     * @param prefix its path prefix
-     * @param kind its kind in the platform's words
-     * @param service its service
-     * @param timeoutMillis its timeout
-     * @return the route as it lies in the store
-     */
-    public static JsonObject route(String name, String prefix, String kind, String service, long timeoutMillis) {
-        return new JsonObject()
-                .put("name", name)
-                .put("host", HOST)
-                .put("path_prefix", prefix)
-                .put("kind", kind)
-                .put("timeout_ms", timeoutMillis)
-                .put("target_latency_ms", 300)
-                .put("gap_target_ms", 200)
-                .put("priority", 1)
-                .put("service", service)
-                .put("max_attempts", 1);
-    }
-
     /**
      * Starts a worker and registers it.
      *
@@ -303,15 +235,7 @@
      * @param state its state in the platform's words
      */
     public void register(String service, String id, int port, int slots, String state) {
-        JsonObject record = new JsonObject()
-                .put("service", service)
-                .put("address", HOST + ":" + port)
-                .put("zone", "dc-1")
-                .put("version", "v1")
-                .put("slots", slots)
-                .put("state", state)
-                .put("born", 1_000L)
-                .put("sequence", 1);
+        JsonObject record = PlatformTexts.worker(service, HOST + ":" + port, slots, state);
         inStore(() -> store.put("servers", id, record));
     }
 
@@ -373,11 +297,9 @@
      * @return a builder
      */
     public HttpRequest.Builder request(Node node, String path, String id) {
-        return HttpRequest.newBuilder(node.uri(path))
-                .timeout(Duration.ofSeconds(8))
-                .header("Api-Key", KEY)
-                .header("X-Request-Id", id)
-                .header("X-Deadline-Ms", "5000");
+        HttpRequest.Builder request = HttpRequest.newBuilder(node.uri(path)).timeout(Duration.ofSeconds(8));
+        PlatformTexts.callerHeaders(KEY, id).forEach(request::header);
+        return request;
     }
 
     /**
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeDemo.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeDemo.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.deployment;
 
+import io.lagoonseam.standin.operator.PlatformTexts;
 import io.lagoonseam.standin.worker.WorkerOptions;
 import java.io.PrintStream;
 import java.net.http.HttpRequest;
@@ -72,8 +73,8 @@
             for (String kind : KINDS) {
                 HttpRequest.Builder request =
                         deployment.request(nodes.get(round % NODES), "/" + kind + "/x", kind + "-" + round);
-                request.header("X-Token-Counts", "300,40")
-                        .header("X-Prompt-Prefix", "part" + round % PARTS + ":200,own" + round + ":100");
+                PlatformTexts.promptHeaders("part" + round % PARTS, "own" + round)
+                        .forEach(request::header);
                 if (!"read".equals(kind)) {
                     request.POST(HttpRequest.BodyPublishers.ofString("{}"));
                 }
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.lagoonseam.standin.operator.PlatformTexts;
 import io.lagoonseam.standin.worker.WorkerOptions;
 import io.lagoonseam.standin.worker.WorkerStandIn;
 import io.vertx.core.json.JsonObject;
@@ -148,7 +149,7 @@
 
     @Test
     public void aNewConfigurationIsInForceAndAnOlderOneIsNot() throws Exception {
-        fleet.configure(LocalDeployment.route("extra", "/extra/", "safe", "app", 1_000));
+        fleet.configure(PlatformTexts.route(LocalDeployment.HOST, "extra", "/extra/", "safe", "app", 1_000));
         LocalDeployment.awaitThat("the new route", () -> {
             try {
                 return fleet.send(fleet.request(node, "/extra/x", "c1").build()).statusCode() == 200;
--- /dev/null
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/package-info.java
@@ -0,0 +1,2 @@
+/** What operators, the platform and callers write, for tests and demos. */
+package io.lagoonseam.standin.operator;
