Nodes know which shared parts workers have read, and copy from whichever keeps one

The parts that a worker has read are remembered and told to peers with the counts; what no worker keeps counts whole. Ruled out: a hot worker (tokens sent were even).

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -31,7 +31,7 @@
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
         for (UpstreamState worker : order) {
-            Choice choice = choice(request, worker, home);
+            Choice choice = choice(request, worker, order);
             double millis = expectedMillis(request, choice);
             if (worker.equals(home) && inTime(request, millis)) {
                 return Optional.of(choice);
@@ -75,10 +75,23 @@
                 .expectedMillis(worker.pendingTokens(request.nowMillis()) + choice.tokensToRead());
     }
 
-    private static Choice choice(ChoiceRequest request, UpstreamState worker, UpstreamState home) {
-        long ownTokens = request.prompt().tokens() - request.prompt().sharedTokens();
-        boolean atHome = worker.equals(home);
-        boolean copies = !atHome && request.prompt().sharedTokens() > 0;
-        return new Choice(worker, ownTokens, copies ? Optional.of(home) : Optional.empty(), atHome ? "home" : "spill");
+    /** A worker that lacks the shared parts copies them from one that keeps them, or reads them if none does. */
+    private static Choice choice(ChoiceRequest request, UpstreamState worker, List<UpstreamState> order) {
+        String reason = worker.equals(order.get(0)) ? "home" : "spill";
+        int sharedTokens = request.prompt().sharedTokens();
+        long ownTokens = request.prompt().tokens() - sharedTokens;
+        if (sharedTokens == 0 || keeps(worker, request)) {
+            return new Choice(worker, ownTokens, Optional.empty(), reason);
+        }
+        for (UpstreamState other : order) {
+            if (!other.equals(worker) && keeps(other, request)) {
+                return new Choice(worker, ownTokens, Optional.of(other), reason + "-copy");
+            }
+        }
+        return new Choice(worker, request.prompt().tokens(), Optional.empty(), reason + "-cold");
+    }
+
+    private static boolean keeps(UpstreamState worker, ChoiceRequest request) {
+        return worker.keptParts().keeps(request.prompt().affinity(), request.nowMillis());
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -18,6 +18,7 @@
     private final long hash;
     private final UpstreamTrust trust = new UpstreamTrust();
     private final FirstEventTime firstEventTime = new FirstEventTime();
+    private final KeptParts keptParts = new KeptParts();
     private final Map<String, PeerCount> peerCounts = new HashMap<>();
     private UpstreamRecord record;
     private Lane lane = Lane.TOLERANT;
@@ -101,6 +102,15 @@
         return firstEventTime;
     }
 
+    /**
+     * Returns the shared prompt parts that the worker has read.
+     *
+     * @return the parts
+     */
+    public KeptParts keptParts() {
+        return keptParts;
+    }
+
     /**
      * Notes a request on its way.
      *
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -104,6 +104,7 @@
         ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
         UpstreamState home =
                 new PrefixChooser().choose(request, workers).orElseThrow().worker();
+        home.keptParts().used(request.prompt().affinity(), 0);
         home.started(200_000);
         UpstreamChooser.Choice spilled =
                 new PrefixChooser().choose(request, workers).orElseThrow();
@@ -112,6 +113,38 @@
         assertEquals(spilled.worker().lane(), Lane.TOLERANT);
     }
 
+    @Test
+    public void aPartThatNoWorkerKeepsIsReadWhole() {
+        List<UpstreamState> workers = workers(6);
+        ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
+        UpstreamChooser.Choice cold =
+                new PrefixChooser().choose(request, workers).orElseThrow();
+        assertEquals(cold.tokensToRead(), 16_700);
+        cold.worker().keptParts().used(request.prompt().affinity(), 0);
+        UpstreamChooser.Choice warm =
+                new PrefixChooser().choose(request, workers).orElseThrow();
+        assertEquals(warm.worker(), cold.worker());
+        assertEquals(warm.tokensToRead(), 3_700);
+    }
+
+    @Test
+    public void aNewHomeCopiesFromTheOldOne() {
+        List<UpstreamState> workers = workers(6);
+        ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
+        UpstreamState home =
+                new PrefixChooser().choose(request, workers).orElseThrow().worker();
+        UpstreamState earlier = workers.stream()
+                .filter(worker -> !worker.equals(home))
+                .findFirst()
+                .orElseThrow();
+        earlier.keptParts().used(request.prompt().affinity(), 0);
+        UpstreamChooser.Choice choice =
+                new PrefixChooser().choose(request, workers).orElseThrow();
+        assertEquals(choice.worker(), home);
+        assertEquals(choice.copyFrom(), Optional.of(earlier));
+        assertEquals(choice.tokensToRead(), 3_700);
+    }
+
     @Test
     public void whatWouldBeLateEverywhereWaits() {
         List<UpstreamState> workers = workers(6);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -38,6 +38,7 @@
     private final Map<String, WorkerConnections> connections = new HashMap<>();
     private final UpstreamChooser engineChooser = new PrefixChooser();
     private final UpstreamChooser plainChooser;
+    private final Map<String, List<Long>> partsRead = new HashMap<>();
     private RoutingConfiguration configuration;
     private int nodes = 1;
 
@@ -173,6 +174,21 @@
         return choice.isPresent();
     }
 
+    /** Notes that a worker has read a shared prompt part, to be told to other nodes. */
+    void partRead(String workerId, long affinity) {
+        partsRead.computeIfAbsent(workerId, id -> new ArrayList<>()).add(affinity);
+    }
+
+    /** Returns the parts that workers have read for this node since they were last told. */
+    Map<String, List<Long>> partsRead() {
+        return Map.copyOf(partsRead);
+    }
+
+    /** Begins a new list of parts. */
+    void partsTold() {
+        partsRead.clear();
+    }
+
     /** Takes a repeat from the budget of a service. */
     boolean tryRepeat(String service) {
         return queue(service).budget().tryTake(nodes, time.monotonicMillis());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -208,6 +208,9 @@
         tokensAhead = worker.pendingTokens(nowMillis());
         unreadTokens = choice.tokensToRead();
         worker.started(unreadTokens);
+        if (prompt().sharedTokens() > 0) {
+            worker.keptParts().used(prompt().affinity(), nowMillis());
+        }
         tried.add(worker.record().id());
         decided(
                 EventCode.REQUEST_SENT,
@@ -341,6 +344,9 @@
 
     private void observeFirstEvent() {
         worker.firstEventTime().observe(tokensAhead + unreadTokens, nowMillis() - sentMillis);
+        if (prompt().sharedTokens() > 0) {
+            dispatcher.partRead(worker.record().id(), prompt().affinity());
+        }
         promptRead();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -86,6 +86,7 @@
         if (quietRounds % QUIET_ROUNDS != 0) {
             return;
         }
+        dispatcher.partsTold();
         byte[] payload = ForwardMessages.encode(state);
         int count = Math.min(FAN_OUT, peers.size());
         for (int index = 0; index < count; index++) {
@@ -120,7 +121,8 @@
         }
         lastTold.clear();
         lastTold.addAll(told);
-        return new ForwardMessages.State(knowledge.configurationVersion(), knowledge.upstreamRevision(), counts);
+        return new ForwardMessages.State(
+                knowledge.configurationVersion(), knowledge.upstreamRevision(), counts, dispatcher.partsRead());
     }
 
     private CompletionStage<byte[]> onState(String sender, byte[] payload) {
@@ -131,9 +133,14 @@
                         .worker(id)
                         .ifPresent(worker ->
                                 worker.peerCount(sender, count.inFlight(), count.pendingTokens(), nowMillis)));
+        state.parts()
+                .forEach((id, parts) -> dispatcher
+                        .worker(id)
+                        .ifPresent(worker ->
+                                parts.forEach(part -> worker.keptParts().used(part, nowMillis))));
         onVersions(sender, state);
-        return CompletableFuture.completedFuture(ForwardMessages.encode(
-                new ForwardMessages.State(knowledge.configurationVersion(), knowledge.upstreamRevision(), Map.of())));
+        return CompletableFuture.completedFuture(ForwardMessages.encode(new ForwardMessages.State(
+                knowledge.configurationVersion(), knowledge.upstreamRevision(), Map.of(), Map.of())));
     }
 
     private void onVersions(String peer, ForwardMessages.State state) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
@@ -32,12 +32,18 @@
      * @param configurationVersion the version of the configuration in force there, -1 for none
      * @param upstreamRevision the store's revision up to which it knows the workers, -1 for none
      * @param counts what it has in flight, by worker; workers that are not named keep their count
+     * @param parts hashes of the shared prompt parts that workers have read for it since it last told, by worker
      */
-    public record State(long configurationVersion, long upstreamRevision, Map<String, Count> counts) {
+    public record State(
+            long configurationVersion,
+            long upstreamRevision,
+            Map<String, Count> counts,
+            Map<String, List<Long>> parts) {
 
-        /** Copies the map. */
+        /** Copies the maps. */
         public State {
             counts = Map.copyOf(counts);
+            parts = Map.copyOf(parts);
         }
     }
 
@@ -118,6 +124,14 @@
                         .packInt(entry.getValue().inFlight())
                         .packLong(entry.getValue().pendingTokens());
             }
+            packer.packMapHeader(state.parts().size());
+            for (Map.Entry<String, List<Long>> entry : state.parts().entrySet()) {
+                packer.packString(entry.getKey())
+                        .packArrayHeader(entry.getValue().size());
+                for (long part : entry.getValue()) {
+                    packer.packLong(part);
+                }
+            }
         });
     }
 
@@ -138,10 +152,25 @@
                 String id = unpacker.unpackString();
                 counts.put(id, new Count(unpacker.unpackInt(), unpacker.unpackLong()));
             }
-            return new State(configurationVersion, upstreamRevision, counts);
+            return new State(configurationVersion, upstreamRevision, counts, readParts(unpacker));
         });
     }
 
+    private static Map<String, List<Long>> readParts(MessageUnpacker unpacker) throws IOException {
+        int size = unpacker.unpackMapHeader();
+        Map<String, List<Long>> parts = new HashMap<>();
+        for (int index = 0; index < size; index++) {
+            String worker = unpacker.unpackString();
+            int count = unpacker.unpackArrayHeader();
+            List<Long> hashes = new ArrayList<>();
+            for (int place = 0; place < count; place++) {
+                hashes.add(unpacker.unpackLong());
+            }
+            parts.put(worker, hashes);
+        }
+        return parts;
+    }
+
     /**
      * Encodes a copy of what a node knows.
      *
--- /dev/null
+++ b/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
@@ -0,0 +1,43 @@
+package io.lagoonseam.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/** Messages of forwarding nodes come out as they went in, and damaged ones are refused. */
+public class ForwardMessagesTest {
+
+    private static final ForwardMessages.State STATE = new ForwardMessages.State(
+            7, 530, Map.of("w1", new ForwardMessages.Count(3, 17_000)), Map.of("w1", List.of(1L, -5L)));
+
+    @Test
+    public void aStateIsReadAsItWasWritten() {
+        assertEquals(ForwardMessages.decodeState(ForwardMessages.encode(STATE)), STATE);
+    }
+
+    @Test
+    public void aCopyIsReadAsItWasWritten() {
+        ForwardMessages.Snapshot snapshot = new ForwardMessages.Snapshot(
+                7,
+                List.of(new ForwardMessages.Copy("main", 4, new byte[] {1, 2})),
+                9,
+                List.of(new ForwardMessages.Copy("w1", 9, new byte[] {3})));
+        ForwardMessages.Snapshot read = ForwardMessages.decodeSnapshot(ForwardMessages.encode(snapshot));
+        assertEquals(read.upstreamRevision(), 9);
+        assertEquals(read.configuration().get(0).name(), "main");
+        assertEquals(read.upstreams().get(0).content(), new byte[] {3});
+    }
+
+    @Test
+    public void damagedMessagesAreRefused() {
+        byte[] encoded = ForwardMessages.encode(STATE);
+        for (int length = 0; length < encoded.length; length++) {
+            byte[] part = Arrays.copyOf(encoded, length);
+            assertThrows(MalformedMessageException.class, () -> ForwardMessages.decodeState(part));
+        }
+    }
+}
