--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
@@ -180,4 +180,22 @@
         assertTrue(
                 body.endsWith("id: 200\ndata: token 200 of q1\n\n"), body.substring(Math.max(0, body.length() - 60)));
     }
+
+    @Test
+    public void aNodeThatStartsBesideASilentStoreServesSoonAfterItsReturn() {
+        fleet.store().faults(new JsonObject().put("silent", true));
+        LocalDeployment.Node second = fleet.start(8, java.util.List.of());
+        try {
+            Thread.sleep(1_500);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+        assertEquals(second.readiness(fleet.client()), 503);
+        fleet.store().faults(new JsonObject().put("silent", false));
+        long returnedNanos = System.nanoTime();
+        fleet.awaitReady(second);
+        long millis = java.util.concurrent.TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - returnedNanos);
+        // a call that the store swallowed ends after 1,200 ms; the node must not wait for that
+        assertTrue(millis < 900, "ready after " + millis + " ms");
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -22,8 +22,20 @@
     /** The pause after the first failed call, in milliseconds: about ten answers of a healthy store. */
     private static final long FIRST_PAUSE_MILLIS = 40;
 
-    /** The longest pause between calls, in milliseconds, so that an end of an outage is noticed in time. */
-    private static final long LONGEST_PAUSE_MILLIS = 500;
+    /** The longest pause between calls before the first listing, in milliseconds: callers are refused meanwhile. */
+    private static final long FIRST_LISTING_PAUSE_MILLIS = 250;
+
+    /** The longest pause between calls later, in milliseconds: what is known stays in force, and peers tell news. */
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
+
+    /**
+     * After how long the first listing is asked for once more, in milliseconds, although a call is on its way: a store
+     * that was silent never answers what it got before, and a healthy one answers within some milliseconds.
+     */
+    private static final long ASK_AGAIN_MILLIS = 300;
+
+    /** The calls for the first listing that may be on their way at the same time. */
+    private static final int LISTINGS_AT_ONCE = 5;
 
     private final Vertx vertx;
     private final CollectionStore store;
@@ -33,6 +45,7 @@
     private final long watchMillis;
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private int listings;
     private boolean stopped;
 
     /** Hears what is in the collection. */
@@ -95,14 +108,29 @@
         stopped = true;
     }
 
+    private boolean listed() {
+        return revision >= 0;
+    }
+
     private void list() {
-        if (!stopped) {
-            store.list(collection).onSuccess(this::onListed);
+        if (stopped) {
+            return;
+        }
+        listings++;
+        boolean first = !listed();
+        store.list(collection).onSuccess(result -> onListed(result, first));
+        if (first) {
+            vertx.setTimer(ASK_AGAIN_MILLIS, timer -> {
+                if (!listed() && listings > 0 && listings < LISTINGS_AT_ONCE) {
+                    list();
+                }
+            });
         }
     }
 
-    private void onListed(StoreResult result) {
-        if (stopped) {
+    private void onListed(StoreResult result, boolean first) {
+        listings--;
+        if (stopped || first && listed()) {
             return;
         }
         if (result instanceof StoreResult.Objects listing) {
@@ -110,7 +138,7 @@
             revision = listing.revision();
             listener.listed(listing.objects(), listing.revision());
             watch();
-        } else {
+        } else if (listings == 0) {
             pause(String.valueOf(result), this::list);
         }
     }
@@ -145,7 +173,7 @@
     private void pause(String reason, Runnable next) {
         listener.failed(reason);
         long millis = Math.round(pauseMillis * (0.5 + random.nextDouble()));
-        pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
+        pauseMillis = Math.min(2 * pauseMillis, listed() ? LONGEST_PAUSE_MILLIS : FIRST_LISTING_PAUSE_MILLIS);
         vertx.setTimer(Math.max(1, millis), timer -> next.run());
     }
 }
