--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/weightstore/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The stand-in for the weight store. */
-package io.lagoonseam.standin.weightstore;
