--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/StandInCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/StandInCommand.java
@@ -5,7 +5,9 @@
 import io.lagoonseam.standin.engine.ModelEngineStandIn;
 import io.lagoonseam.standin.plain.PlainServiceStandIn;
 import io.lagoonseam.standin.platform.PlatformStandIn;
-import io.lagoonseam.standin.weightstore.WeightStoreStandIn;
+import io.lagoonseam.standin.store.StoreStandIn;
+import io.lagoonseam.standin.worker.WorkerOptions;
+import io.lagoonseam.standin.worker.WorkerStandIn;
 import io.vertx.core.Vertx;
 import java.io.PrintStream;
 import java.util.List;
@@ -26,7 +28,7 @@
 
     @Override
     public String arguments() {
-        return "engine|plain|platform|weightstore";
+        return "engine|plain|platform|store|worker";
     }
 
     @Override
@@ -42,7 +44,8 @@
                 .addOption(CommandOptions.of("models", "LIST", "An engine's models, NAME@VERSION,… (default care-1)"))
                 .addOption(CommandOptions.of("step-millis", "N", "An engine's time for one token (default 10)"))
                 .addOption(CommandOptions.of("max-batch", "N", "An engine's streams at once (default 16)"))
-                .addOption(CommandOptions.of("weight-store", "URL", "Where an engine loads models from"))
+                .addOption(CommandOptions.of("id", "ID", "A worker's id (default worker-1)"))
+                .addOption(null, "model", false, "The worker serves a model; without it a plain service")
                 .addOption(null, "ignores-fencing", false, "The engine takes orders with old fencing numbers")
                 .addOption(CommandOptions.seed());
     }
@@ -69,13 +72,18 @@
                         .models(List.of(line.getOptionValue("models", "care-1").split(",")))
                         .stepMillis(CommandOptions.number(line, "step-millis", 10))
                         .maxBatch((int) CommandOptions.number(line, "max-batch", 16))
-                        .weightStoreUrl(line.getOptionValue("weight-store", ""))
                         .checksFencing(!line.hasOption("ignores-fencing"))
                         .build());
             case "plain" -> new PlainServiceStandIn(host, port, seed);
             case "platform" -> new PlatformStandIn(host, port, seed);
-            case "weightstore" -> new WeightStoreStandIn(host, port);
+            case "store" -> new StoreStandIn(host, port);
+            case "worker" -> new WorkerStandIn(host, port, workerOptions(line), CommandOptions.seed(line));
             default -> throw new UsageException("'" + kind + "' is not a kind of stand-in");
         };
     }
+
+    private static WorkerOptions workerOptions(CommandLine line) {
+        String id = line.getOptionValue("id", "worker-1");
+        return line.hasOption("model") ? WorkerOptions.engine(id) : WorkerOptions.plain(id);
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/AuditTrail.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/AuditTrail.java
@@ -11,7 +11,7 @@
 
 /**
  * Keeps the latest events that change what holds at a node (its start and stop, configuration, roles, membership,
- * placement, invariants) and hands every event on.
+ * invariants) and hands every event on.
  */
 public final class AuditTrail implements EventSink {
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/lock/LockRank.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/lock/LockRank.java
@@ -6,8 +6,6 @@
     CONFIGURATION,
     /** The table of members. */
     MEMBERSHIP,
-    /** The leases and wanted states of placement. */
-    PLACEMENT,
     /** The queues and the workers of one service. */
     SERVICE,
     /** The shares of workers' capacity that this node grants. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/EntryNode.java
@@ -25,7 +25,6 @@
 import io.lagoonseam.entry.operator.AuditRoutes;
 import io.lagoonseam.entry.operator.OperatorRoutes;
 import io.lagoonseam.entry.peer.PeerLayer;
-import io.lagoonseam.entry.placement.NodePlacement;
 import io.lagoonseam.entry.platform.NodeJournal;
 import io.lagoonseam.entry.platform.PlatformClient;
 import io.lagoonseam.entry.platform.UpstreamWatch;
@@ -81,7 +80,6 @@
     private final Dispatcher dispatcher;
     private final LimitLayer limits;
     private final ConfigurationFollower follower;
-    private final NodePlacement placement;
     private final List<Long> timers = new ArrayList<>();
     private final List<StopParticipant> participants = new CopyOnWriteArrayList<>();
     private final NodeTls tls;
@@ -134,13 +132,8 @@
                 policies,
                 settings.seed()));
         this.dispatcher.identify(settings.nodeId());
-        this.placement = new NodePlacement(
-                new NodePlacement.Environment(
-                        vertx, settings, platform, peers.members(), peers.transport(), configuration, time, events),
-                decisions);
         this.follower = new ConfigurationFollower(followerEnvironment(), configuration, this::configure);
         this.peers.piggybacks().add(new GenerationPiggyback(follower));
-        this.participants.add(placement::handOver);
         this.tls = new NodeTls(vertx, settings, events);
         this.upstreamWatch = new UpstreamWatch(new UpstreamWatch.Environment(
                 platform,
@@ -198,8 +191,7 @@
      * @return completes when callers and operators are served
      */
     public Future<Void> start() {
-        CallerRoutes callers = new CallerRoutes(
-                configuration, dispatcher, time, () -> state != State.REFUSING, placement::recordDemand);
+        CallerRoutes callers = new CallerRoutes(configuration, dispatcher, time, () -> state != State.REFUSING);
         OperatorRoutes operators =
                 new OperatorRoutes(settings, configuration, dispatcher, invariants, registry, this::isReady);
         Router callerRouter = callers.router(vertx, settings.bodyLimitBytes());
@@ -233,7 +225,6 @@
     private void started() {
         follower.start();
         timers.add(limits.start(vertx));
-        placement.start();
         tls.watch(callerServer, peers::renew);
         timers.add(vertx.setPeriodic(TICK_MILLIS, timer -> dispatcher.tick()));
         timers.add(vertx.setPeriodic(LOAD_POLL_MILLIS, timer -> dispatcher.pollLoad()));
@@ -376,7 +367,6 @@
 
     private Future<Void> close() {
         follower.stop();
-        placement.stop();
         tls.stop();
         timers.forEach(vertx::cancelTimer);
         return callerServer
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/caller/CallerRoutes.java
@@ -36,7 +36,6 @@
 import java.util.TreeSet;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 
 /** The routes of the callers' interface. */
 public final class CallerRoutes {
@@ -54,7 +53,6 @@
     private final Dispatcher dispatcher;
     private final TimeSource time;
     private final BooleanSupplier acceptsRequests;
-    private final Consumer<String> modelDemand;
 
     /**
      * Creates the routes.
@@ -63,19 +61,16 @@
      * @param dispatcher what runs the requests
      * @param time the clocks
      * @param acceptsRequests whether the node takes new requests
-     * @param modelDemand hears the model of each generating request
      */
     public CallerRoutes(
             ActiveConfiguration configuration,
             Dispatcher dispatcher,
             TimeSource time,
-            BooleanSupplier acceptsRequests,
-            Consumer<String> modelDemand) {
+            BooleanSupplier acceptsRequests) {
         this.configuration = configuration;
         this.dispatcher = dispatcher;
         this.time = time;
         this.acceptsRequests = acceptsRequests;
-        this.modelDemand = modelDemand;
     }
 
     /** A handler that may refuse. */
@@ -179,7 +174,6 @@
         }
         RequestClass requestClass = classify(context, fileSet, workspace, model.service(), modelName);
         Ticket ticket = ticket(context, fileSet, workspace, requestClass);
-        modelDemand.accept(modelName);
         boolean streamed = body.getBoolean("stream", false);
         AnswerSink sink = streamed
                 ? new StreamedAnswerWriter(context.response(), ticket.id(), modelName)
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -2,7 +2,7 @@
 
 /**
  * The numbers of message types. Numbers are never reused: 1 to 19 membership, 20 to 29 operations, 30 to 39
- * configuration, 40 to 49 limits, 50 to 59 routing, 60 to 69 placement, 70 to 79 forwarding.
+ * configuration, 40 to 49 limits, 50 to 59 routing, 60 to 69 retired with placement, 70 to 79 forwarding.
  */
 public final class MessageTypes {
 
@@ -26,8 +26,6 @@
 
     /** Demands on the limits of workspaces, answered by shares. */
     public static final int LIMIT_SHARES = 40;
-    /** Asks a node for the demand it has seen by model. */
-    public static final int PLACEMENT_DEMAND = 60;
 
     /** Asks the home of some workers for shares of their capacity: {@link RoutingMessages.Demand}. */
     public static final int CAPACITY_DEMAND = 50;
