--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -57,6 +57,7 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
             .build();
+    private final int peerPort = freePort();
     private long version = 1;
 
     /**
@@ -170,10 +171,21 @@
         return started;
     }
 
+    /**
+     * Returns where a node listens for other nodes. The port is the same for all, as on the platform, so each has a
+     * loopback address of its own.
+     *
+     * @param index the place of the node in the order of starts, from 0
+     * @return an IP number
+     */
+    public static String peerHost(int index) {
+        return "127.0.0." + (index + 1);
+    }
+
     /** Writes the settings as the platform would, and reads them as a node does. */
     private NodeSettings settings(String name, long stopSeconds, List<String> seeds) {
-        PlatformTexts.Addresses addresses =
-                new PlatformTexts.Addresses(HOST, freePort(), freePort(), freePort(), store.port());
+        PlatformTexts.Addresses addresses = new PlatformTexts.Addresses(
+                HOST, peerHost(nodes.size()), freePort(), freePort(), peerPort, store.port());
         String text = PlatformTexts.settings(name, addresses, stopSeconds, seeds);
         List<String> errors = new ArrayList<>();
         try {
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/StandInClient.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/StandInClient.java
@@ -69,7 +69,20 @@
         try {
             return answer.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (TimeoutException e) {
-            throw new IllegalStateException("no answer from " + url + " within " + TIMEOUT_SECONDS + " s", e);
+            throw new IllegalStateException(
+                    "no answer from " + url + " within " + TIMEOUT_SECONDS + " s; threads:\n" + threads(), e);
         }
     }
+
+    /** Tells what the threads were at, since a stand-in that does not answer may be blocked by one of them. */
+    private static String threads() {
+        StringBuilder text = new StringBuilder();
+        Thread.getAllStackTraces().forEach((thread, frames) -> {
+            text.append(thread.getName()).append(' ').append(thread.getState()).append('\n');
+            for (StackTraceElement frame : frames) {
+                text.append("    ").append(frame).append('\n');
+            }
+        });
+        return text.toString();
+    }
 }
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
@@ -10,6 +10,7 @@
 import io.vertx.core.json.JsonObject;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -184,7 +185,7 @@
     @Test
     public void aNodeThatStartsBesideASilentStoreServesSoonAfterItsReturn() {
         fleet.store().faults(new JsonObject().put("silent", true));
-        LocalDeployment.Node second = fleet.start(8, java.util.List.of());
+        LocalDeployment.Node second = fleet.start(8, List.of());
         try {
             Thread.sleep(1_500);
         } catch (InterruptedException e) {
@@ -198,4 +199,48 @@
         // a call that the store swallowed ends after 1,200 ms; the node must not wait for that
         assertTrue(millis < 900, "ready after " + millis + " ms");
     }
+
+    @Test
+    public void aNodeThatTheStoreDoesNotAnswerTakesACopyFromAnother() throws Exception {
+        fleet.store().faults(new JsonObject().put("silent", true));
+        LocalDeployment.Node second = fleet.start(8, List.of(LocalDeployment.peerHost(0)));
+        fleet.awaitReady(second);
+        HttpResponse<String> answer = fleet.send(fleet.request(second, "/pay/x", "k1")
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build());
+        assertEquals(answer.body(), "p1 ran k1");
+    }
+
+    @Test
+    public void aLeavingWorkerGetsNothingNewAndFinishesWhatItHas() throws Exception {
+        fleet.worker("app", WorkerOptions.plain("p2"));
+        fleet.register("app", "p1", plain.port(), 6, "draining");
+        int before = plain.ran().size();
+        LocalDeployment.awaitThat("the leaving is known", () -> {
+            try {
+                return fleet.send(fleet.request(node, "/read/x", "d").build())
+                        .body()
+                        .startsWith("p2");
+            } catch (java.io.IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        int known = plain.ran().size();
+        for (int index = 0; index < 20; index++) {
+            fleet.send(fleet.request(node, "/read/x", "d" + index).build());
+        }
+        assertEquals(plain.ran().size(), known);
+        assertTrue(known - before <= 1, "sent before the leaving was known: " + (known - before));
+    }
+
+    @Test
+    public void recordsThatCannotBeReadAreSkipped() throws Exception {
+        fleet.inStore(() -> {
+            fleet.store().put("servers", "broken-1", "no object");
+            fleet.store().put("servers", "broken-2", new JsonObject().put("service", 7));
+            fleet.store().put("config", "main", new JsonObject().put("version", "x"));
+        });
+        Thread.sleep(100);
+        assertEquals(fleet.send(fleet.request(node, "/read/x", "b1").build()).statusCode(), 200);
+    }
 }
--- /dev/null
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
@@ -0,0 +1,36 @@
+package io.lagoonseam.entry.forward;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vertx.core.buffer.Buffer;
+import org.testng.annotations.Test;
+
+/** Streams that are cut at every byte come out in whole events. */
+public class EventSplitterTest {
+
+    private static final String STREAM =
+            "version: 3\nid: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid: 3\r\ndata: d\r\n\r\n";
+
+    @Test
+    public void onlyWholeEventsArePassedOnWhereverTheBytesAreCut() {
+        for (int cut = 0; cut <= STREAM.length(); cut++) {
+            EventSplitter splitter = new EventSplitter();
+            String first =
+                    splitter.feed(Buffer.buffer(STREAM.substring(0, cut))).toString();
+            assertEquals(STREAM.startsWith(first), true);
+            assertEquals(first.isEmpty() || first.endsWith("\n\n") || first.endsWith("\r\n\r\n"), true, "cut " + cut);
+            String second = splitter.feed(Buffer.buffer(STREAM.substring(cut))).toString();
+            assertEquals(first + second, STREAM);
+            assertEquals(splitter.lastId(), "3");
+            assertEquals(splitter.rest().length(), 0);
+        }
+    }
+
+    @Test
+    public void anEventThatIsNotWholeIsHeldAndDoesNotCount() {
+        EventSplitter splitter = new EventSplitter();
+        assertEquals(splitter.feed(Buffer.buffer("id: 1\ndata: a\n\nid: 2\nda")).toString(), "id: 1\ndata: a\n\n");
+        assertEquals(splitter.lastId(), "1");
+        assertEquals(splitter.rest().toString(), "id: 2\nda");
+    }
+}
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformTexts.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformTexts.java
@@ -14,13 +14,14 @@
     /**
      * The addresses of a node.
      *
-     * @param host its IP number
+     * @param host the IP number for callers and of the store
+     * @param peerHost the IP number for other nodes
      * @param callerPort where callers come
      * @param readyPort where the balancer asks
      * @param peerPort where other nodes come
      * @param storePort the store's port at the same IP number
      */
-    public record Addresses(String host, int callerPort, int readyPort, int peerPort, int storePort) {}
+    public record Addresses(String host, String peerHost, int callerPort, int readyPort, int peerPort, int storePort) {}
 
     /**
      * Writes a node's settings file.
@@ -33,7 +34,7 @@
      */
     public static String settings(String name, Addresses addresses, long stopSeconds, List<String> seeds) {
         String host = addresses.host();
-        return "node_name = \"" + name + "\"\nip = \"" + host + "\"\nzone = \"dc-1\"\n"
+        return "node_name = \"" + name + "\"\nip = \"" + addresses.peerHost() + "\"\nzone = \"dc-1\"\n"
                 + "internal_ports = [" + addresses.peerPort() + ", " + (addresses.peerPort() + 1) + "]\n"
                 + "seed_nodes = ["
                 + seeds.stream().map(seed -> '"' + seed + ":1\"").collect(Collectors.joining(", "))
