A node that starts again believes for a while that workers keep their parts

Ruled out: the store (configuration in force with the first answer) and cold workers (none had restarted).

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/KeptParts.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/KeptParts.java
@@ -24,6 +24,18 @@
         }
     };
 
+    private long assumedUntilMillis = Long.MIN_VALUE;
+
+    /**
+     * Believes that each part is kept, for a while: a node that starts again knows nothing of what the workers have
+     * read, and reckoning with whole prompts would send requests away from the workers that do keep their parts.
+     *
+     * @param untilMillis until when
+     */
+    public void assumeAll(long untilMillis) {
+        assumedUntilMillis = untilMillis;
+    }
+
     /**
      * Notes the use of a part.
      *
@@ -39,9 +51,12 @@
      *
      * @param affinity the hash of the part
      * @param nowMillis the time
-     * @return false if it was never used here or long ago
+     * @return false if it was never used here or long ago, and is not assumed to be kept
      */
     public boolean keeps(long affinity, long nowMillis) {
+        if (nowMillis < assumedUntilMillis) {
+            return true;
+        }
         Long used = usedMillis.get(affinity);
         return used != null && nowMillis - used <= KEPT_MILLIS;
     }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -145,6 +145,21 @@
         assertEquals(choice.tokensToRead(), 3_700);
     }
 
+    @Test
+    public void aNodeThatStartsAgainDoesNotReckonWithColdWorkers() {
+        // seen after the restart of all nodes: requests left their homes for workers that had to read all parts again
+        List<UpstreamState> workers = workers(6);
+        workers.forEach(worker -> worker.keptParts().assumeAll(10_000));
+        ChoiceRequest request = request("part", 60_000, 3_700, Lane.TOLERANT, 1_000);
+        UpstreamState home =
+                new PrefixChooser().choose(request, workers).orElseThrow().worker();
+        home.started(10_000);
+        UpstreamChooser.Choice choice =
+                new PrefixChooser().choose(request, workers).orElseThrow();
+        assertEquals(choice.worker(), home);
+        assertEquals(choice.tokensToRead(), 3_700);
+    }
+
     @Test
     public void whatWouldBeLateEverywhereWaits() {
         List<UpstreamState> workers = workers(6);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -29,6 +29,12 @@
     /** The part of a worker's connections that the nodes use together, since their counts of each other lag. */
     private static final double CONNECTION_SHARE = 0.9;
 
+    /**
+     * How long the workers that a restarted node finds are believed to keep every part, in milliseconds: until requests
+     * and peers have shown which they do.
+     */
+    private static final long ASSUMED_MILLIS = 8_000;
+
     private final NodeSettings settings;
     private final HttpClientAgent client;
     private final TimeSource time;
@@ -41,6 +47,7 @@
     private final Map<String, List<Long>> partsRead = new HashMap<>();
     private RoutingConfiguration configuration;
     private int nodes = 1;
+    private long assumedUntilMillis = Long.MIN_VALUE;
 
     ForwardDispatcher(ForwardEnvironment environment, HttpClientAgent client, UpstreamDirectory directory) {
         this.settings = environment.settings();
@@ -98,6 +105,8 @@
     /** Takes over what the directory knows; workers that get no new work leave, requests that wait are placed. */
     void refresh() {
         Set<String> serving = new HashSet<>();
+        boolean first = connections.isEmpty() && !settings.firstStart();
+        assumedUntilMillis = first ? time.monotonicMillis() + ASSUMED_MILLIS : Long.MIN_VALUE;
         for (UpstreamRecord record : directory.serving()) {
             serving.add(record.id());
             keep(record);
@@ -136,7 +145,9 @@
                 record.dataCentre(),
                 "revision",
                 record.revision());
-        workers.put(record.id(), new UpstreamState(record));
+        UpstreamState state = new UpstreamState(record);
+        state.keptParts().assumeAll(assumedUntilMillis);
+        workers.put(record.id(), state);
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
@@ -11,6 +11,7 @@
  * @param callers where it listens for callers
  * @param readiness where it is asked whether it is ready
  * @param peers where it listens for other nodes
+ * @param firstStart whether the whole deployment starts for the first time
  * @param seedHosts the IP numbers of some nodes, which may be gone
  * @param store the address of the store
  * @param bounds what the deployment asks for
@@ -22,6 +23,7 @@
         ListenAddress callers,
         ListenAddress readiness,
         ListenAddress peers,
+        boolean firstStart,
         List<String> seedHosts,
         ListenAddress store,
         Bounds bounds,
