Read a stand-in's answer on an event loop, where it cannot end unseen

Cause of 'no answer from .../faults within 30 s': StandInClient composed its futures on the thread that waits. Where the answer had ended before that thread came to its next line, response.body() was asked for after the last byte and never completed. The request itself had been served: the new text of the message says 'head 200 came, waiting for the body'.

Ruled out by a trace of both ends: the stand-in read the request and answered it, its connection stayed open, no event loop was blocked.

The same pattern goes from GracefulStopTest and PolicyRunner.

The random run says which classes were not served after the calm.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/chaos/ChaosRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/chaos/ChaosRun.java
@@ -153,6 +153,12 @@
                 .filter(classReport -> classReport.requests() > 0 && classReport.answered() == 0)
                 .count();
         count("classesUnservedAfterCalm", unserved);
+        report.classes().forEach((name, classReport) -> {
+            if (unanswered(classReport) > 0) {
+                progress.println("after calm: " + name + " answered " + classReport.answered() + " of "
+                        + classReport.requests() + ", refused " + classReport.refusedByVerdict());
+            }
+        });
         count(
                 "unansweredAfterCalm",
                 report.classes().values().stream()
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/policy/PolicyRunner.java
@@ -13,6 +13,7 @@
 import io.lagoonseam.standin.engine.EngineOptions;
 import io.lagoonseam.standin.engine.ModelEngineStandIn;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -164,10 +165,15 @@
         for (ModelEngineStandIn engine : fleet.engines().values()) {
             RequestOptions options =
                     new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(engine.url() + "/counters");
-            values.add(client.request(options)
-                    .compose(request -> request.send())
-                    .compose(response -> response.body())
-                    .map(body -> new JsonObject(body).getLong(counter)));
+            Promise<Long> value = Promise.promise();
+            // on the caller's own thread the answer could end before anyone asks for its body
+            fleet.vertx()
+                    .runOnContext(nothing -> client.request(options)
+                            .compose(request -> request.send())
+                            .compose(response -> response.body())
+                            .map(body -> new JsonObject(body).getLong(counter))
+                            .onComplete(value));
+            values.add(value.future());
         }
         return Future.all(values)
                 .map(all -> values.stream().mapToLong(Future::result).sum());
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/StandInClient.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/StandInClient.java
@@ -1,22 +1,22 @@
 package io.lagoonseam.bench.fleet;
 
-import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Reads and switches stand-ins over HTTP, waiting for each answer. */
 public final class StandInClient {
 
     private static final long TIMEOUT_SECONDS = 30;
 
+    private final Vertx vertx;
     private final HttpClient client;
 
     /**
@@ -25,6 +25,7 @@
      * @param vertx the Vert.x instance
      */
     public StandInClient(Vertx vertx) {
+        this.vertx = vertx;
         this.client = vertx.createHttpClient();
     }
 
@@ -62,15 +63,27 @@
 
     private JsonObject exchange(HttpMethod method, String url, Buffer body) {
         RequestOptions options = new RequestOptions().setMethod(method).setAbsoluteURI(url);
-        Future<JsonObject> answer = client.request(options)
-                .compose((HttpClientRequest request) -> request.send(body))
-                .compose(HttpClientResponse::body)
-                .map(JsonObject::new);
+        AtomicReference<String> stage = new AtomicReference<>("waiting for a connection");
+        Promise<JsonObject> answer = Promise.promise();
+        // on the caller's own thread the answer could end before anyone asks for its body, which then never comes
+        vertx.runOnContext(nothing -> client.request(options)
+                .compose(request -> {
+                    stage.set("sent from " + request.connection().localAddress() + ", waiting for the head");
+                    return request.send(body);
+                })
+                .compose(response -> {
+                    stage.set("head " + response.statusCode() + " came, waiting for the body");
+                    return response.body();
+                })
+                .map(JsonObject::new)
+                .onComplete(answer));
         try {
-            return answer.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            return answer.future().await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (TimeoutException e) {
             throw new IllegalStateException(
-                    "no answer from " + url + " within " + TIMEOUT_SECONDS + " s; threads:\n" + threads(), e);
+                    "no answer from " + url + " within " + TIMEOUT_SECONDS + " s, " + stage.get() + "; threads:\n"
+                            + threads(),
+                    e);
         }
     }
 
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/stop/GracefulStopTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/stop/GracefulStopTest.java
@@ -18,6 +18,7 @@
 import io.lagoonseam.standin.engine.ModelEngineStandIn;
 import io.lagoonseam.standin.platform.PlatformStandIn;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -35,6 +36,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -124,10 +126,17 @@
                 .setMethod(HttpMethod.POST)
                 .setAbsoluteURI(url + "/v1/chat/completions")
                 .putHeader("Authorization", "Bearer regina.demo");
-        return from.request(options)
+        return onEventLoop(() -> from.request(options)
                 .compose(request -> request.send(BODY))
                 .compose(HttpClientResponse::body)
-                .map(Buffer::toString);
+                .map(Buffer::toString));
+    }
+
+    /** On the test's own thread an answer could end before anyone asks for its body, which then never comes. */
+    private <T> Future<T> onEventLoop(Supplier<Future<T>> call) {
+        Promise<T> result = Promise.promise();
+        vertx.runOnContext(nothing -> call.get().onComplete(result));
+        return result.future();
     }
 
     private Future<String> generate(EntryNode node) {
@@ -157,10 +166,10 @@
     private int inFlight(EntryNode node) {
         RequestOptions options =
                 new RequestOptions().setAbsoluteURI("http://" + HOST + ":" + node.operatorPort() + "/status");
-        return client.request(options)
-                .compose(request -> request.send())
-                .compose(HttpClientResponse::body)
-                .map(body -> new JsonObject(body).getInteger("inFlight"))
+        return onEventLoop(() -> client.request(options)
+                        .compose(request -> request.send())
+                        .compose(HttpClientResponse::body)
+                        .map(body -> new JsonObject(body).getInteger("inFlight")))
                 .await();
     }
 
