Divide what nobody asked for among all live nodes, and name no longer pause than a share holds

Cause: the home of a workspace's limits gave all that was left over to the nodes that asked already. A node that got its first request found nothing free, so its share was 0 until the others renewed theirs; its bucket was cut to one token, overdrawn by the first answer, and the refusal reckoned with a rate of 0.

Now the rest is divided among all live nodes, and a pause is at most as long as a share holds. Ruled out: a lost home (events show answers), a limit that was really reached (5,000 tokens a second against some hundred).

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/LimitHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/LimitHome.java
@@ -15,10 +15,11 @@
 
 /**
  * Shares out the limits of the workspaces whose home is this node. Each node gets its demand as far as all demands fit
- * (max-min fairness) and an equal part of what is left over. The shares in use together never exceed the limits: a node
- * gets more only when others' shares have shrunk. A live node that stops asking without having given its share back is
- * taken to have fallen back to an equal part, which stays reserved for it. A new home gives equal parts until the
- * shares of the home before it have ended.
+ * (max-min fairness) and an equal part of what is left over, which is divided among all live nodes, so that one that
+ * gets its first request finds something. The shares in use together never exceed the limits: a node gets more only
+ * when others' shares have shrunk. A live node that stops asking without having given its share back is taken to have
+ * fallen back to an equal part, which stays reserved for it. A new home gives equal parts until the shares of the home
+ * before it have ended.
  */
 public final class LimitHome {
 
@@ -83,7 +84,7 @@
         long endsMillis = nowMillis + SHARE_VALID_MILLIS;
         ofWorkspace.put(nodeId, new Lease(demand.amounts(), LimitAmounts.ZERO, endsMillis));
         boolean newHome = nowMillis - sinceMillis < SHARE_VALID_MILLIS && live.size() > 1;
-        LimitAmounts wanted = newHome ? equalPart : fairPart(ofWorkspace, nodeId, whole);
+        LimitAmounts wanted = newHome ? equalPart : fairPart(ofWorkspace, nodeId, whole, live.size());
         LimitAmounts others = ofWorkspace.values().stream()
                 .map(Lease::granted)
                 .reduce(LimitAmounts.ZERO, (sum, next) -> sum.combine(next, Double::sum));
@@ -108,18 +109,22 @@
         }
     }
 
-    private static LimitAmounts fairPart(Map<String, Lease> ofWorkspace, String nodeId, LimitAmounts whole) {
+    private static LimitAmounts fairPart(Map<String, Lease> ofWorkspace, String nodeId, LimitAmounts whole, int nodes) {
         return new LimitAmounts(
-                fairPart(ofWorkspace, nodeId, whole.requestsPerSecond(), LimitAmounts::requestsPerSecond),
-                fairPart(ofWorkspace, nodeId, whole.tokensPerSecond(), LimitAmounts::tokensPerSecond),
-                fairPart(ofWorkspace, nodeId, whole.concurrency(), LimitAmounts::concurrency));
+                fairPart(ofWorkspace, nodeId, whole.requestsPerSecond(), nodes, LimitAmounts::requestsPerSecond),
+                fairPart(ofWorkspace, nodeId, whole.tokensPerSecond(), nodes, LimitAmounts::tokensPerSecond),
+                fairPart(ofWorkspace, nodeId, whole.concurrency(), nodes, LimitAmounts::concurrency));
     }
 
     private static double fairPart(
-            Map<String, Lease> ofWorkspace, String nodeId, double whole, ToDoubleFunction<LimitAmounts> amount) {
+            Map<String, Lease> ofWorkspace,
+            String nodeId,
+            double whole,
+            int nodes,
+            ToDoubleFunction<LimitAmounts> amount) {
         List<Double> demands = new ArrayList<>();
         ofWorkspace.values().forEach(lease -> demands.add(amount.applyAsDouble(lease.demand)));
         double own = amount.applyAsDouble(ofWorkspace.get(nodeId).demand);
-        return MaxMinFairness.partOf(own, demands, whole);
+        return MaxMinFairness.partOf(own, demands, whole, nodes);
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/MaxMinFairness.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/MaxMinFairness.java
@@ -8,8 +8,15 @@
 
     private MaxMinFairness() {}
 
-    /** Returns the part of one demand among all, with an equal part of what no one asked for. */
-    static double partOf(double own, List<Double> demands, double whole) {
+    /**
+     * Returns the part of one demand among all, with an equal part of what no one asked for.
+     *
+     * @param own the demand
+     * @param demands all demands
+     * @param whole what there is
+     * @param nodes among how many nodes is divided what no one asked for: those that do not ask yet find their part
+     */
+    static double partOf(double own, List<Double> demands, double whole, int nodes) {
         List<Double> ascending = new ArrayList<>(demands);
         ascending.sort(null);
         double left = whole;
@@ -20,6 +27,6 @@
             }
             left -= ascending.get(index);
         }
-        return own + left / demands.size();
+        return own + left / Math.max(nodes, demands.size());
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/WorkspaceLimitTable.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/limits/WorkspaceLimitTable.java
@@ -129,7 +129,9 @@
         long waitMillis = Math.max(entry.requests.millisUntil(1, nowMillis), entry.tokens.millisUntil(1, nowMillis));
         if (waitMillis > 0) {
             entry.refused = true;
-            return Optional.of(refusal("too many requests or tokens a second", waitMillis));
+            // by then another share holds, so that the rate of this one does not tell
+            long retryMillis = Math.min(waitMillis, LimitHome.SHARE_VALID_MILLIS);
+            return Optional.of(refusal("too many requests or tokens a second", retryMillis));
         }
         entry.requests.charge(1, nowMillis);
         entry.inFlight++;
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/limits/LimitSharingTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/limits/LimitSharingTest.java
@@ -262,6 +262,23 @@
 
     public static final class SharesOfHome {
 
+        /** One node asks for little; the others have to find a part when their first requests come. */
+        @Test
+        public void aNodeThatBeginsToAskFindsAPartOfWhatNobodyUses() {
+            Limits limits = new Limits("small", REQUESTS_PER_SECOND, 6_000, CONCURRENCY);
+            LimitHome home = new LimitHome(workspace -> Optional.of(limits), () -> NODES);
+            LimitAmounts little = new LimitAmounts(5, 100, 2);
+            for (long nowMillis = 0; nowMillis <= 5_000; nowMillis += 1_000) {
+                home.grant("entry-1", List.of(new LimitDemand("regina", little)), nowMillis);
+            }
+            LimitShare share = home.grant("entry-2", List.of(new LimitDemand("regina", little)), 5_100)
+                    .get(0);
+            double equalPart = 1.0 / NODES.size();
+            assertTrue(share.amounts().requestsPerSecond() >= 0.9 * equalPart * REQUESTS_PER_SECOND, share.toString());
+            assertTrue(share.amounts().tokensPerSecond() >= 0.9 * equalPart * 6_000, share.toString());
+            assertTrue(share.amounts().concurrency() >= 0.9 * equalPart * CONCURRENCY, share.toString());
+        }
+
         private static final Set<String> NODES =
                 IntStream.range(0, 8).mapToObj(number -> "entry-" + number).collect(Collectors.toSet());
 
@@ -312,6 +329,20 @@
             assertTrue(table.tryAcquire("unlimited", 0).isEmpty());
         }
 
+        /** Shares are renewed each second, so a rate of nothing does not say when to come back. */
+        @Test
+        public void aRefusalIsNotLongerThanAShareHolds() {
+            WorkspaceLimitTable fresh = new WorkspaceLimitTable();
+            fresh.configure(fileSet());
+            assertTrue(fresh.tryAcquire("regina", 0).isEmpty());
+            fresh.use(new LimitShare("regina", LimitAmounts.ZERO, LimitHome.SHARE_VALID_MILLIS), 0, 0);
+            fresh.release("regina", 40, 0);
+            Refusal refusal = fresh.tryAcquire("regina", 10).orElseThrow();
+            assertTrue(
+                    refusal.retryAfterMillis().orElseThrow() <= LimitHome.SHARE_VALID_MILLIS,
+                    refusal.retryAfterMillis().toString());
+        }
+
         @Test
         public void chargesTokensAfterwards() {
             WorkspaceLimitTable fresh = new WorkspaceLimitTable();
