--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -1,7 +1,9 @@
 package io.lagoonseam.bench.deployment;
 
 import com.codahale.metrics.MetricRegistry;
+import io.lagoonseam.bench.fleet.FreePorts;
 import io.lagoonseam.core.time.SystemTimeSource;
+import io.lagoonseam.entry.forward.CurrentSettings;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
 import io.lagoonseam.entry.forward.ForwardNode;
 import io.lagoonseam.entry.forward.NodeSettings;
@@ -20,7 +22,6 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -57,7 +58,7 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
             .build();
-    private final int peerPort = freePort();
+    private final int peerPort = FreePorts.find();
     private long version = 1;
 
     /**
@@ -124,14 +125,6 @@
         }
     }
 
-    static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     /**
      * Starts a node with usual bounds.
      *
@@ -152,9 +145,10 @@
         String name = "node-" + (nodes.size() + 1);
         NodeSettings settings = settings(name, stopSeconds, seeds);
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        CurrentSettings current = new CurrentSettings(settings);
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
-                settings,
+                current,
                 new HeaderProtocol(),
                 new SystemTimeSource(),
                 new Random(nodes.size()),
@@ -162,7 +156,7 @@
                 new MetricRegistry());
         ForwardNode node = new ForwardNode(
                 environment,
-                new HttpCollectionStore(vertx, settings.store()),
+                new HttpCollectionStore(vertx, () -> current.get().store()),
                 new JsonRecordDecoder(),
                 Optional.empty());
         await(vertx.deployVerticle(context -> node.start()));
@@ -185,7 +179,7 @@
     /** Writes the settings as the platform would, and reads them as a node does. */
     private NodeSettings settings(String name, long stopSeconds, List<String> seeds) {
         PlatformTexts.Addresses addresses = new PlatformTexts.Addresses(
-                HOST, peerHost(nodes.size()), freePort(), freePort(), peerPort, store.port());
+                HOST, peerHost(nodes.size()), FreePorts.find(), FreePorts.find(), peerPort, store.port());
         String text = PlatformTexts.settings(name, addresses, stopSeconds, seeds);
         List<String> errors = new ArrayList<>();
         try {
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/LocalFleet.java
@@ -152,7 +152,7 @@
     }
 
     private AbstractStandIn startUpstream(Upstream upstream) {
-        return startUpstream(upstream, 0);
+        return startUpstream(upstream, FreePorts.find());
     }
 
     private AbstractStandIn startUpstream(Upstream upstream, int port) {
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/NodeTest.java
@@ -233,6 +233,25 @@
         assertTrue(known - before <= 1, "sent before the leaving was known: " + (known - before));
     }
 
+    @Test
+    public void aHeadOverTheLimitOfTheConfigurationIsRejected() throws Exception {
+        String short7000 = "x".repeat(7_000);
+        assertEquals(
+                fleet.send(fleet.request(node, "/read/x", "h1")
+                                .header("X-Long", short7000)
+                                .build())
+                        .statusCode(),
+                200);
+        assertEquals(
+                fleet.send(fleet.request(node, "/read/x", "h2")
+                                .header("X-Long", short7000)
+                                .header("X-Longer", "y".repeat(1_500))
+                                .build())
+                        .statusCode(),
+                431);
+        assertEquals(plain.ran().size(), 1);
+    }
+
     @Test
     public void recordsThatCannotBeReadAreSkipped() throws Exception {
         fleet.inStore(() -> {
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
@@ -3,9 +3,11 @@
 import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.time.SystemTimeSource;
+import io.lagoonseam.entry.forward.CurrentSettings;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
 import io.lagoonseam.entry.forward.ForwardNode;
 import io.lagoonseam.entry.forward.NodeSettings;
+import io.lagoonseam.entry.forward.SettingsReload;
 import io.lagoonseam.entry.log.JsonLineLog;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.platform.HeaderProtocol;
@@ -23,6 +25,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import sun.misc.Signal;
@@ -32,6 +35,9 @@
 
     private static final long START_TIMEOUT_SECONDS = 20;
 
+    /** The pause between looks at the settings, in milliseconds: the file may change without a signal. */
+    private static final long SETTINGS_LOOK_MILLIS = 5_000;
+
     @Override
     public String name() {
         return "node";
@@ -64,19 +70,24 @@
         String port = line.getOptionValue("metrics-port");
         return serve(
                 settings.get(),
+                found -> PlatformSettings.read(Path.of(file), found),
                 port == null
                         ? Optional.empty()
                         : Optional.of(new ListenAddress(settings.get().callers().host(), Integer.parseInt(port))));
     }
 
-    private static int serve(NodeSettings settings, Optional<ListenAddress> metrics)
+    private static int serve(
+            NodeSettings settings,
+            Function<List<String>, Optional<NodeSettings>> reader,
+            Optional<ListenAddress> metrics)
             throws InterruptedException, TimeoutException {
         Vertx vertx = Vertx.vertx(
                 new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         JsonLineLog events = new JsonLineLog(settings.nodeName(), new SystemTimeSource());
+        CurrentSettings current = new CurrentSettings(settings);
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
-                settings,
+                current,
                 new HeaderProtocol(),
                 new SystemTimeSource(),
                 new Random(),
@@ -84,11 +95,16 @@
                 new MetricRegistry());
         CountDownLatch stopped = new CountDownLatch(1);
         ForwardNode node = new ForwardNode(
-                environment, new HttpCollectionStore(vertx, settings.store()), new JsonRecordDecoder(), metrics);
+                environment,
+                new HttpCollectionStore(vertx, () -> current.get().store()),
+                new JsonRecordDecoder(),
+                metrics);
         Signal.handle(
                 new Signal("TERM"),
                 signal -> vertx.runOnContext(nothing -> node.stop().onComplete(ended -> stopped.countDown())));
-        Signal.handle(new Signal("HUP"), signal -> events.record(EventCode.SETTINGS_READ, "SIGHUP"));
+        SettingsReload reload = new SettingsReload(reader, current, events, node::onSettings);
+        Signal.handle(new Signal("HUP"), signal -> vertx.runOnContext(nothing -> reload.read(true)));
+        vertx.setPeriodic(SETTINGS_LOOK_MILLIS, timer -> reload.read(false));
         try {
             vertx.deployVerticle(context -> node.start()).await(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (RuntimeException | TimeoutException e) {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -30,6 +30,9 @@
     /** Lines were left out of the log. */
     LOG_DROPPED(111, EventLevel.WARNING, "Lines were left out of the log to stay within its budget"),
 
+    /** Changed settings cannot be read. */
+    SETTINGS_UNREADABLE(112, EventLevel.ERROR, "Changed settings cannot be read; those before stay in force"),
+
     /** The bearer key is absent or not in force. */
     KEY_UNKNOWN(201, EventLevel.INFO, "The bearer key is not known"),
     /** The body is not valid JSON. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RepeatBudget.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RepeatBudget.java
@@ -16,9 +16,9 @@
      */
     private static final double SPENT_PART = 0.8;
 
-    private final double ratio;
-    private final long windowMillis;
-    private final double fixedRepeats;
+    private double ratio;
+    private long windowMillis;
+    private double fixedRepeats;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
 
@@ -35,6 +35,19 @@
         this.fixedRepeats = fixedRepeats;
     }
 
+    /**
+     * Sets other limits; what was spent stays spent.
+     *
+     * @param newRatio repeats for each request of the window
+     * @param newWindowMillis the length of the window
+     * @param newFixedRepeats repeats in each window besides, for all nodes together
+     */
+    public void limits(double newRatio, long newWindowMillis, double newFixedRepeats) {
+        this.ratio = newRatio;
+        this.windowMillis = newWindowMillis;
+        this.fixedRepeats = newFixedRepeats;
+    }
+
     /**
      * Counts a caller's request.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/Route.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/Route.java
@@ -16,7 +16,6 @@
  * @param services the services that its requests are split over
  * @param maxAttempts the most workers that one request may be sent to
  * @param anonymous whether requests need no key
- * @param followsPrefix whether requests name the parts of their prompt
  */
 public record Route(
         String name,
@@ -29,8 +28,7 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
-        boolean anonymous,
-        boolean followsPrefix) {
+        boolean anonymous) {
 
     /** Copies the list. */
     public Route {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * The workers that are known and whether they may get new work. A worker that announces its leaving, or whose record
@@ -20,8 +20,22 @@
      */
     public static final long RETURN_MILLIS = 2_400;
 
+    /**
+     * The removals that are remembered, so that an older copy of another node does not bring a worker back: twice the
+     * workers of the largest deployment that is designed for, all of which would have to leave in the meantime.
+     */
+    private static final int REMOVED_KEPT = 24_000;
+
     private final Map<String, Known> known = new HashMap<>();
-    private final Map<String, Long> removedAtRevision = new HashMap<>();
+    private final Map<String, Long> removedAtRevision = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > REMOVED_KEPT;
+        }
+    };
+
     private long outageUntilMillis = Long.MIN_VALUE;
 
     private static final class Known {
@@ -117,16 +131,6 @@
                         && nowMillis - entry.missingSinceMillis > RETURN_MILLIS);
     }
 
-    /**
-     * Returns a worker that may get new work.
-     *
-     * @param id its id
-     * @return its record, or empty if it is unknown or leaving
-     */
-    public Optional<UpstreamRecord> serving(String id) {
-        return Optional.ofNullable(known.get(id)).map(entry -> entry.record).filter(record -> !record.leaving());
-    }
-
     /**
      * Returns the workers that may get new work.
      *
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/RepeatBudgetTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/RepeatBudgetTest.java
@@ -15,6 +15,20 @@
     private static final long WINDOW_MILLIS = 10_000;
     private static final double SLACK = 52;
 
+    @Test
+    public void otherLimitsHoldAtOnceAndWhatWasSpentStaysSpent() {
+        RepeatBudget budget = new RepeatBudget(0, WINDOW_MILLIS, 10);
+        for (int repeat = 0; repeat < 8; repeat++) {
+            assertTrue(budget.tryTake(1, 0));
+        }
+        assertFalse(budget.tryTake(1, 0));
+        budget.limits(0, WINDOW_MILLIS, 20);
+        for (int repeat = 0; repeat < 8; repeat++) {
+            assertTrue(budget.tryTake(1, 1));
+        }
+        assertFalse(budget.tryTake(1, 1));
+    }
+
     @Test
     public void allNodesTogetherStayWithinEachWindow() {
         int nodes = 6;
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/RouteTableTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/RouteTableTest.java
@@ -21,7 +21,6 @@
                 0,
                 List.of(new WeightedService("x", 90), new WeightedService("y", 10)),
                 1,
-                false,
                 false);
     }
 
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/StopPolicyTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/StopPolicyTest.java
@@ -13,7 +13,7 @@
 
     private static Route route(WorkKind kind, long timeoutMillis) {
         return new Route(
-                "r", "h", "/", kind, timeoutMillis, 1_000, 0, 0, List.of(new WeightedService("s", 1)), 1, false, false);
+                "r", "h", "/", kind, timeoutMillis, 1_000, 0, 0, List.of(new WeightedService("s", 1)), 1, false);
     }
 
     @Test
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
@@ -13,6 +13,7 @@
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+    private final long afterId;
     private Buffer held = Buffer.buffer();
     private int scanned;
     private int lineStart;
@@ -21,6 +22,29 @@
     private String lastId = "";
     private int events;
 
+    /** Creates a splitter of a stream that begins with its first event. */
+    EventSplitter() {
+        this("");
+    }
+
+    /**
+     * Creates a splitter of a stream that is resumed.
+     *
+     * @param afterId the id of the last event that the caller has; events up to it are left out
+     */
+    EventSplitter(String afterId) {
+        this.afterId = number(afterId);
+    }
+
+    private static long number(String id) {
+        try {
+            return Long.parseLong(id);
+        } catch (NumberFormatException e) {
+            // ids need not be numbers; then there is no order to check
+            return -1;
+        }
+    }
+
     /**
      * Takes bytes of the stream.
      *
@@ -39,8 +63,7 @@
                 length--;
             }
             if (length == 0) {
-                end = scanned + 1;
-                finishEvent(end);
+                end = finishEvent(scanned + 1);
             } else {
                 readLine(length);
             }
@@ -49,15 +72,29 @@
         return end == 0 ? Buffer.buffer() : take(end);
     }
 
-    private void finishEvent(int end) {
-        if (end - eventStart > 2) {
-            events++;
-        }
+    /** Ends an event and returns the end of what may be passed on. */
+    private int finishEvent(int end) {
         if (!pendingId.isEmpty()) {
+            long id = number(pendingId);
+            if (afterId >= 0 && id >= 0 && id <= afterId) {
+                return leaveOut(end);
+            }
             lastId = pendingId;
             pendingId = "";
         }
+        if (end - eventStart > 2) {
+            events++;
+        }
         eventStart = end;
+        return end;
+    }
+
+    /** Leaves out an event that the caller has already. */
+    private int leaveOut(int end) {
+        pendingId = "";
+        held = held.getBuffer(0, eventStart).appendBuffer(held.getBuffer(end, held.length()));
+        scanned = eventStart - 1;
+        return eventStart;
     }
 
     private void readLine(int length) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -35,7 +35,7 @@
      */
     private static final long ASSUMED_MILLIS = 8_000;
 
-    private final NodeSettings settings;
+    private final ForwardEnvironment environment;
     private final HttpClientAgent client;
     private final TimeSource time;
     private final DecisionLog log;
@@ -50,12 +50,13 @@
     private long assumedUntilMillis = Long.MIN_VALUE;
 
     ForwardDispatcher(ForwardEnvironment environment, HttpClientAgent client, UpstreamDirectory directory) {
-        this.settings = environment.settings();
+        this.environment = environment;
         this.client = client;
         this.time = environment.time();
         this.log = environment.events();
         this.directory = directory;
-        this.plainChooser = new LeastLoadedChooser(Rendezvous.hash(settings.nodeName()));
+        this.plainChooser =
+                new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
     }
 
     /** Puts a configuration in force. */
@@ -65,6 +66,14 @@
         refresh();
     }
 
+    /** Takes over the bounds of the settings in force. */
+    void takeBounds() {
+        NodeSettings.Bounds bounds = environment.settings().bounds();
+        queues.values()
+                .forEach(queue ->
+                        queue.budget().limits(bounds.repeatRatio(), bounds.repeatWindowMillis(), bounds.repeatSlack()));
+    }
+
     /** Sets the nodes that share the workers, this one included. */
     void nodes(int value) {
         if (nodes != value) {
@@ -92,7 +101,7 @@
 
     private ServiceQueue queue(String service) {
         return queues.computeIfAbsent(service, name -> {
-            NodeSettings.Bounds bounds = settings.bounds();
+            NodeSettings.Bounds bounds = environment.settings().bounds();
             ServiceQueue queue = new ServiceQueue(
                     engineChooser,
                     plainChooser,
@@ -105,7 +114,7 @@
     /** Takes over what the directory knows; workers that get no new work leave, requests that wait are placed. */
     void refresh() {
         Set<String> serving = new HashSet<>();
-        boolean first = connections.isEmpty() && !settings.firstStart();
+        boolean first = connections.isEmpty() && !environment.settings().firstStart();
         assumedUntilMillis = first ? time.monotonicMillis() + ASSUMED_MILLIS : Long.MIN_VALUE;
         for (UpstreamRecord record : directory.serving()) {
             serving.add(record.id());
@@ -180,7 +189,8 @@
 
     private boolean place(ServiceQueue queue, ForwardedRequest request) {
         long nowMillis = time.monotonicMillis();
-        Optional<UpstreamChooser.Choice> choice = queue.choose(request, settings.dataCentre(), nowMillis);
+        Optional<UpstreamChooser.Choice> choice =
+                queue.choose(request, environment.settings().dataCentre(), nowMillis);
         choice.ifPresent(request::send);
         return choice.isPresent();
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardEnvironment.java
@@ -10,7 +10,7 @@
  * What the parts of a node work with.
  *
  * @param vertx the Vert.x of the event loop
- * @param settings the node's settings
+ * @param current the node's settings, which change while it runs
  * @param protocol reads and writes headers
  * @param time the clocks
  * @param random randomness for spreading
@@ -19,9 +19,19 @@
  */
 public record ForwardEnvironment(
         Vertx vertx,
-        NodeSettings settings,
+        CurrentSettings current,
         ForwardProtocol protocol,
         TimeSource time,
         Random random,
         DecisionLog events,
-        MetricRegistry registry) {}
+        MetricRegistry registry) {
+
+    /**
+     * Returns the settings in force.
+     *
+     * @return the settings; what is kept of them does not follow a change
+     */
+    public NodeSettings settings() {
+        return current.get();
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -115,6 +115,12 @@
                 environment.vertx(), store, collection, listener, environment.random(), watchMillis);
     }
 
+    /** Takes over what has changed in the settings. */
+    public void onSettings() {
+        dispatcher.takeBounds();
+        nodes.addSeeds();
+    }
+
     private void onConfiguration(RoutingConfiguration configuration) {
         dispatcher.configure(configuration);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -15,7 +15,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -57,7 +56,7 @@
     private final RequestLog log;
     private final Admitted admitted;
     private final HttpServerRequest request;
-    private final HttpServerResponse response;
+    private final CallerAnswer callerAnswer;
     private final Buffer body;
     private final long arrivedMillis;
     private final long deadlineMillis;
@@ -76,8 +75,6 @@
     private int runs;
     private int rejections;
     private int connectFailures;
-    private boolean headWritten;
-    private long firstEventMillis;
     private boolean waiting;
     private boolean repeatInHand;
     private boolean done;
@@ -109,7 +106,7 @@
         this.dispatcher = dispatcher;
         this.admitted = admitted;
         this.request = request;
-        this.response = request.response();
+        this.callerAnswer = new CallerAnswer(environment.protocol(), request);
         this.body = body;
         this.arrivedMillis = arrivedMillis;
         this.log = new RequestLog(environment, metrics, admitted, arrivedMillis);
@@ -162,8 +159,8 @@
 
     /** Begins the request's way. */
     void begin() {
-        response.closeHandler(nothing -> onCallerGone());
-        response.exceptionHandler(cause -> onCallerGone());
+        request.response().closeHandler(nothing -> onCallerGone());
+        request.response().exceptionHandler(cause -> onCallerGone());
         long deadlineDelayMillis = Math.max(1, leftMillis() + DEADLINE_GRACE_MILLIS);
         deadlineTimer = environment.vertx().setTimer(deadlineDelayMillis, timer -> onDeadline());
         dispatcher.count(service());
@@ -197,7 +194,7 @@
         log.sent(choice, tried.size(), tokensAhead, lastEventId);
         answer = null;
         held = Buffer.buffer();
-        splitter = new EventSplitter();
+        splitter = new EventSplitter(lastEventId);
         if (connections.isEmpty()) {
             onFailure(new AttemptResult.NotRun("the worker has left", false));
             return;
@@ -297,7 +294,7 @@
     }
 
     private void onEvents(Buffer events) {
-        if (unreadTokens > 0 || !headWritten) {
+        if (unreadTokens > 0 || !callerAnswer.begun()) {
             observeFirstEvent();
         }
         if (!splitter.lastId().isEmpty()) {
@@ -306,13 +303,8 @@
         if (kind().repeatable()) {
             watchSilence(Math.round(SILENT_GAPS * admitted.route().gapObjectiveMillis()));
         }
-        writeHead();
-        response.write(events);
-        if (response.writeQueueFull()) {
-            UpstreamAttempt paused = attempt;
-            paused.pause();
-            response.drainHandler(nothing -> paused.resume());
-        }
+        callerAnswer.begin(answer, answerHeaders, nowMillis() - arrivedMillis);
+        callerAnswer.events(events, attempt);
     }
 
     private void observeFirstEvent() {
@@ -328,17 +320,6 @@
         unreadTokens = 0;
     }
 
-    private void writeHead() {
-        if (headWritten) {
-            return;
-        }
-        headWritten = true;
-        firstEventMillis = nowMillis() - arrivedMillis;
-        response.setStatusCode(answer.status());
-        response.headers().addAll(environment.protocol().callerHeaders(answerHeaders));
-        response.setChunked(true);
-    }
-
     @Override
     public void onEnd() {
         endAttempt();
@@ -413,17 +394,15 @@
 
     private void passAnswer() {
         if (kind().stream() && succeeds()) {
-            writeHead();
-            response.end(splitter.rest());
-        } else if (headWritten) {
+            callerAnswer.begin(answer, answerHeaders, nowMillis() - arrivedMillis);
+            callerAnswer.endStream(splitter.rest());
+        } else if (callerAnswer.begun()) {
             breakOff("a resumed stream ended with status " + answer.status());
             return;
         } else {
-            response.setStatusCode(answer.status());
-            response.headers().addAll(environment.protocol().callerHeaders(answerHeaders));
-            response.end(held);
+            callerAnswer.whole(answer, answerHeaders, held);
         }
-        log.answered(worker, answer.status(), firstEventMillis, arrivals());
+        log.answered(worker, answer.status(), callerAnswer.firstEventMillis(), arrivals());
         finish();
     }
 
@@ -439,7 +418,7 @@
     }
 
     private void answerOwn(int status, long retryAfterMillis, String reason) {
-        if (headWritten) {
+        if (callerAnswer.begun()) {
             breakOff(reason);
             return;
         }
@@ -448,17 +427,14 @@
         } else {
             log.failed(status, reason, arrivals(), lastEventId);
         }
-        response.setStatusCode(status);
-        environment.protocol().own(response.headers(), admitted.head().requestId(), retryAfterMillis);
-        response.end();
+        callerAnswer.own(status, admitted.head().requestId(), retryAfterMillis);
         finish();
     }
 
-    /** Closes the caller's connection in the middle of an answer, so that the answer does not look complete. */
     private void breakOff(String reason) {
         log.failed(answer == null ? 0 : answer.status(), "broken off: " + reason, arrivals(), lastEventId);
         finish();
-        request.connection().close();
+        callerAnswer.breakOff();
     }
 
     /** The request has waited for so long that it is refused. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,6 +42,20 @@
     /** The part of the process's memory that bodies of callers may hold. */
     private static final double BODY_MEMORY_SHARE = 0.1;
 
+    /** Descriptors that are no connections, in a count: what the platform sets aside for files. */
+    private static final int OTHER_DESCRIPTORS = 200;
+
+    /** The part of the other descriptors that callers' connections may take; the rest is for workers and nodes. */
+    private static final double CALLER_DESCRIPTOR_SHARE = 0.6;
+
+    /** The bytes of a request line besides its target: the longest method, the version and the end of the line. */
+    private static final int REQUEST_LINE_BYTES = 18;
+
+    /** The bytes of a header's line besides name and value. */
+    private static final int HEADER_LINE_BYTES = 4;
+
+    private static final int HEAD_TOO_LARGE = 431;
+
     /** The connections that wait to be accepted: a burst of a whole data centre's callers. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
@@ -49,7 +64,6 @@
     private final Supplier<Optional<RoutingConfiguration>> configuration;
     private final Map<HttpConnection, Caller> callers = new HashMap<>();
     private final RequestMetrics metrics;
-    private final long bodyBytesLimit;
     private final HttpServerOptions options = new HttpServerOptions()
             .setMaxHeaderSize(HEADER_BYTES)
             .setHandle100ContinueAutomatically(true)
@@ -79,8 +93,11 @@
         this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.configuration = configuration;
-        this.bodyBytesLimit = Math.round(
-                BODY_MEMORY_SHARE * environment.settings().resources().memoryMegabytes() * (1 << 20));
+    }
+
+    private long bodyBytesLimit() {
+        int memoryMegabytes = environment.settings().resources().memoryMegabytes();
+        return Math.round(BODY_MEMORY_SHARE * memoryMegabytes * (1 << 20));
     }
 
     Future<Void> start() {
@@ -99,6 +116,22 @@
         caller.idleSinceMillis = nowMillis();
         callers.put(connection, caller);
         connection.closeHandler(nothing -> callers.remove(connection));
+        if (callers.size() > connectionLimit()) {
+            closeLongestIdle();
+        }
+    }
+
+    private int connectionLimit() {
+        int descriptors = environment.settings().resources().maxDescriptors();
+        return (int) (CALLER_DESCRIPTOR_SHARE * (descriptors - OTHER_DESCRIPTORS));
+    }
+
+    /** Makes room for a new connection; requests that are being served are not touched. */
+    private void closeLongestIdle() {
+        callers.entrySet().stream()
+                .filter(entry -> entry.getValue().inFlight == 0)
+                .min(Comparator.comparingLong(entry -> entry.getValue().idleSinceMillis))
+                .ifPresent(entry -> entry.getKey().close());
     }
 
     private long nowMillis() {
@@ -166,6 +199,10 @@
         void start() {
             inFlight++;
             caller().ifPresent(caller -> caller.inFlight++);
+            if (headBytes() > limits().headerBytes()) {
+                reject(HEAD_TOO_LARGE, 0);
+                return;
+            }
             readTimer = environment.vertx().setTimer(limits().headerTimeoutMillis(), timer -> {
                 if (!over) {
                     reject(BAD_REQUEST, 0);
@@ -185,6 +222,15 @@
             });
         }
 
+        /** Returns the size of the head as it is written on the connection. */
+        private long headBytes() {
+            long bytes = REQUEST_LINE_BYTES + request.uri().length();
+            for (Map.Entry<String, String> header : request.headers()) {
+                bytes += header.getKey().length() + header.getValue().length() + HEADER_LINE_BYTES;
+            }
+            return bytes;
+        }
+
         private Optional<Caller> caller() {
             return Optional.ofNullable(callers.get(request.connection()));
         }
@@ -197,7 +243,7 @@
             bodyBytes += bytes.length();
             if (body.length() > bodyLimitBytes) {
                 reject(TOO_LARGE, 0);
-            } else if (bodyBytes > bodyBytesLimit) {
+            } else if (bodyBytes > bodyBytesLimit()) {
                 environment.events().record(EventCode.QUEUE_FULL, "bodies of callers hold " + bodyBytes + " bytes");
                 reject(SERVICE_UNAVAILABLE, NO_CONFIGURATION_PAUSE_MILLIS);
             }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -51,6 +51,7 @@
     private static final class Node {
         private final PeerAddress address;
         private long heardMillis;
+        private boolean lost;
 
         Node(PeerAddress address, long nowMillis) {
             this.address = address;
@@ -65,7 +66,12 @@
         NodeSettings settings = environment.settings();
         this.ownAddress =
                 new PeerAddress(settings.peers().host(), settings.peers().port());
-        settings.seedHosts().forEach(host -> add(new PeerAddress(host, ownAddress.port())));
+        addSeeds();
+    }
+
+    /** Adds the nodes that the settings in force name. */
+    void addSeeds() {
+        environment.settings().seedHosts().forEach(host -> add(new PeerAddress(host, ownAddress.port())));
     }
 
     /** Returns the name by which nodes know each other: the address that they listen on. */
@@ -159,12 +165,28 @@
             });
         } else {
             node.heardMillis = nowMillis();
+            if (node.lost) {
+                node.lost = false;
+                environment.events().record(EventCode.MEMBER_ALIVE, id);
+            }
         }
     }
 
+    private void tellLost() {
+        long nowMillis = nowMillis();
+        nodes.forEach((id, node) -> {
+            long silentMillis = nowMillis - node.heardMillis;
+            if (!node.lost && silentMillis > ALIVE_MILLIS) {
+                node.lost = true;
+                environment.events().record(EventCode.MEMBER_SUSPECTED, id + " silent for " + silentMillis + " ms");
+            }
+        });
+    }
+
     /** Counts the nodes that run and removes registrations of nodes that have been silent for long. */
     void tick() {
         onCount.accept(alive());
+        tellLost();
         long nowMillis = nowMillis();
         for (Map.Entry<String, String> entry : Map.copyOf(addressByName).entrySet()) {
             Node node = nodes.get(entry.getValue());
@@ -201,6 +223,9 @@
             return;
         }
         if (object.removed()) {
+            if (addressByName.containsKey(object.name())) {
+                environment.events().record(EventCode.MEMBER_LEAVING, object.name());
+            }
             forget(object.name());
             return;
         }
@@ -240,6 +265,9 @@
 
     @Override
     public void answered() {
-        storeAnswers = true;
+        if (!storeAnswers) {
+            storeAnswers = true;
+            environment.events().record(EventCode.PLATFORM_REACHABLE, "nodes");
+        }
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -19,7 +19,6 @@
     private AnswerFilter filter;
     private HttpClientResponse response;
     private AnswerHead answer;
-    private boolean sent;
     private boolean over;
 
     /**
@@ -91,7 +90,6 @@
         request.headers().addAll(message.headers());
         request.exceptionHandler(cause -> fail(broken(cause)));
         request.response().onSuccess(this::onResponse).onFailure(cause -> fail(broken(cause)));
-        sent = true;
         listener.onSent();
         if (message.body().length() == 0 && !message.headers().contains("Content-Length")) {
             request.end();
@@ -155,10 +153,6 @@
         }
     }
 
-    boolean sent() {
-        return sent;
-    }
-
     /** Stops reading until {@link #resume}, for a caller that reads slowly. */
     void pause() {
         if (!over && response != null) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
@@ -32,7 +32,6 @@
     private final HttpConnectOptions target;
     private final TimeSource time;
     private final Deque<Connection> idle = new ArrayDeque<>();
-    private int open;
     private long doubtedBeforeMillis = Long.MIN_VALUE;
 
     WorkerConnections(HttpClientAgent client, String host, int port, TimeSource time) {
@@ -88,17 +87,11 @@
         private void onClosed() {
             if (!closed) {
                 closed = true;
-                open--;
                 idle.remove(this);
             }
         }
     }
 
-    /** Returns the connections that are open or being made. */
-    int open() {
-        return open;
-    }
-
     /** Takes an idle connection or makes one. */
     Future<Connection> acquire() {
         long nowMillis = time.monotonicMillis();
@@ -111,14 +104,7 @@
             }
             connection.close();
         }
-        open++;
-        return client.connect(target).transform(made -> {
-            if (made.failed()) {
-                open--;
-                return Future.failedFuture(made.cause());
-            }
-            return Future.succeededFuture(new Connection(made.result()));
-        });
+        return client.connect(target).map(Connection::new);
     }
 
     /** Uses no connection again that was not heard of since a time, after another one of them went silent. */
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
@@ -26,6 +26,19 @@
         }
     }
 
+    @Test
+    public void aResumedStreamLeavesOutWhatTheCallerHasWhereverTheBytesAreCut() {
+        for (int cut = 0; cut <= STREAM.length(); cut++) {
+            EventSplitter splitter = new EventSplitter("2");
+            String passed =
+                    splitter.feed(Buffer.buffer(STREAM.substring(0, cut))).toString()
+                            + splitter.feed(Buffer.buffer(STREAM.substring(cut)));
+            assertEquals(passed, ": comment\n\nid: 3\r\ndata: d\r\n\r\n", "cut " + cut);
+            assertEquals(splitter.lastId(), "3");
+            assertEquals(splitter.rest().length(), 0);
+        }
+    }
+
     @Test
     public void anEventThatIsNotWholeIsHeldAndDoesNotCount() {
         EventSplitter splitter = new EventSplitter();
--- /dev/null
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloadTest.java
@@ -0,0 +1,107 @@
+package io.lagoonseam.entry.forward;
+
+import static org.testng.Assert.assertEquals;
+
+import io.lagoonseam.core.audit.DecisionLog;
+import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.entry.settings.ListenAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The settings file changes under a running node. */
+public class SettingsReloadTest {
+
+    private final List<String> lines = new ArrayList<>();
+    private CurrentSettings current;
+    private SettingsReload reload;
+    private Optional<NodeSettings> file;
+    private int changes;
+
+    private static NodeSettings settings(int callerPort, long stopMillis, int storePort) {
+        return new NodeSettings(
+                "node-1",
+                "dc-1",
+                new ListenAddress("10.0.0.1", callerPort),
+                new ListenAddress("10.0.0.1", 2),
+                new ListenAddress("10.0.0.1", 3),
+                true,
+                List.of(),
+                new ListenAddress("10.9.0.1", storePort),
+                new NodeSettings.Bounds(stopMillis, 0.2, 10_000, 50),
+                new NodeSettings.Resources(280, 4_000));
+    }
+
+    @BeforeMethod
+    public void start() {
+        lines.clear();
+        changes = 0;
+        current = new CurrentSettings(settings(1, 8_000, 7));
+        file = Optional.of(settings(1, 8_000, 7));
+        DecisionLog log = new DecisionLog() {
+            @Override
+            public void record(EventCode code, String detail) {
+                lines.add(code + " " + detail);
+            }
+
+            @Override
+            public void decided(EventCode code, String requestId, Object... fields) {
+                lines.add(code.toString());
+            }
+        };
+        reload = new SettingsReload(
+                errors -> {
+                    if (file.isEmpty()) {
+                        errors.add("local.toml:7: bounds.grace_s is not a number");
+                    }
+                    return file;
+                },
+                current,
+                log,
+                () -> changes++);
+    }
+
+    @Test
+    public void whatHasNotChangedIsToldOnlyToWhoAsked() {
+        reload.read(false);
+        assertEquals(lines, List.of());
+        reload.read(true);
+        assertEquals(lines, List.of("SETTINGS_READ unchanged"));
+        assertEquals(changes, 0);
+    }
+
+    @Test
+    public void boundsAndTheStoreChangeWithoutAStart() {
+        file = Optional.of(settings(1, 4_000, 9));
+        reload.read(false);
+        reload.read(false);
+        assertEquals(current.get().bounds().stopMillis(), 4_000);
+        assertEquals(current.get().store().port(), 9);
+        assertEquals(lines, List.of("SETTINGS_READ in force"));
+        assertEquals(changes, 1);
+    }
+
+    @Test
+    public void whatTheNodeListensOnHoldsUntilItStartsAgain() {
+        file = Optional.of(settings(11, 4_000, 7));
+        reload.read(true);
+        assertEquals(current.get().callers().port(), 1);
+        assertEquals(current.get().bounds().stopMillis(), 4_000);
+        assertEquals(
+                lines,
+                List.of("SETTINGS_READ in force but for what holds from the next start on: [the callers' address]"));
+    }
+
+    @Test
+    public void aFileThatCannotBeReadChangesNothingAndIsNamedOnce() {
+        file = Optional.empty();
+        reload.read(false);
+        reload.read(false);
+        assertEquals(lines, List.of("SETTINGS_UNREADABLE local.toml:7: bounds.grace_s is not a number"));
+        assertEquals(current.get().bounds().stopMillis(), 8_000);
+        reload.read(true);
+        assertEquals(lines.size(), 2);
+    }
+}
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformTexts.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformTexts.java
@@ -107,7 +107,12 @@
                 .put("version", version)
                 .put("routes", new JsonArray(routes))
                 .put("services", new JsonArray().add(plain).add(model))
-                .put("limits", new JsonObject().put("max_body_bytes", 100_000).put("idle_timeout_ms", 5_000))
+                .put(
+                        "limits",
+                        new JsonObject()
+                                .put("max_header_bytes", 8_000)
+                                .put("max_body_bytes", 100_000)
+                                .put("idle_timeout_ms", 5_000))
                 .put(
                         "tenants",
                         new JsonArray()
