Learn how fast workers read from their first events, and send to an idle worker what none reads in time

Prompts of 30,000 to 54,000 tokens were held for 0.35 s and refused although each worker was idle, and the assumption took ten events of each worker to fade.

Now the first events weigh as much as the assumption, a worker without events is taken to be like the others of its service, and an idle worker gets a prompt that no worker would read in time: there is nothing to wait for.

Ruled out: counts of peers (the refused ones saw nothing ahead), copies of parts (none exist yet).

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FirstEventTime.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FirstEventTime.java
@@ -1,5 +1,7 @@
 package io.lagoonseam.core.forward;
 
+import java.util.Optional;
+
 /** Learns how fast a worker reads prompts from the times to first events, and so how long the next one will take. */
 public final class FirstEventTime {
 
@@ -15,7 +17,26 @@
     /** The time of a first event that is not spent on reading, in milliseconds: the way and one step of the engine. */
     private static final double FIXED_MILLIS = 25;
 
+    /** Observations from which on a worker's own mean is used instead of its service's. */
+    private static final int OWN_OBSERVATIONS = 3;
+
+    private final Optional<FirstEventTime> service;
     private double tokensPerMilli = INITIAL_TOKENS_PER_MILLI;
+    private int observations;
+
+    /** Creates an estimate that stands alone. */
+    public FirstEventTime() {
+        this.service = Optional.empty();
+    }
+
+    /**
+     * Creates the estimate of one worker.
+     *
+     * @param service the estimate over all workers of its service, used until the worker has some events of its own
+     */
+    public FirstEventTime(FirstEventTime service) {
+        this.service = Optional.of(service);
+    }
 
     /**
      * Takes the time of a first event.
@@ -28,7 +49,11 @@
             return;
         }
         double rate = tokens / Math.max(1, millis - FIXED_MILLIS);
-        tokensPerMilli += WEIGHT * (Math.min(rate, 8 * tokensPerMilli) - tokensPerMilli);
+        observations++;
+        // the first observations count as much as what was assumed, or they would take a second to overcome it
+        double weight = Math.max(WEIGHT, 1.0 / (1 + observations));
+        tokensPerMilli += weight * (Math.min(rate, 8 * tokensPerMilli) - tokensPerMilli);
+        service.ifPresent(all -> all.observe(tokens, millis));
     }
 
     /**
@@ -38,6 +63,12 @@
      * @return milliseconds
      */
     public double expectedMillis(long tokens) {
-        return FIXED_MILLIS + tokens / tokensPerMilli;
+        return FIXED_MILLIS + tokens / rate();
+    }
+
+    private double rate() {
+        return observations >= OWN_OBSERVATIONS || service.isEmpty()
+                ? tokensPerMilli
+                : service.get().rate();
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -11,7 +11,8 @@
  * Sends the requests that share a part of their prompt to the same worker of their lane, on every node alike, so that
  * the part is read once. The request leaves that worker only if it would miss its objective there and another one is
  * sooner, which then copies the shared parts instead of reading them. A request that would miss its objective
- * everywhere waits: sent all the same, it would only make the others late too.
+ * everywhere waits: sent all the same, it would only make the others late too. At an idle worker there is nothing to
+ * wait for.
  */
 public final class PrefixChooser implements UpstreamChooser {
 
@@ -43,7 +44,12 @@
                 bestMillis = millis;
             }
         }
-        return best != null && inTime(request, bestMillis) ? Optional.of(best) : Optional.empty();
+        boolean sends = best != null && (inTime(request, bestMillis) || idle(request, best.worker()));
+        return sends ? Optional.of(best) : Optional.empty();
+    }
+
+    private static boolean idle(ChoiceRequest request, UpstreamState worker) {
+        return worker.inFlight(request.nowMillis()) == 0;
     }
 
     /** Orders the workers by rendezvous hashing, those of the request's lane first. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -17,7 +17,7 @@
 
     private final long hash;
     private final UpstreamTrust trust = new UpstreamTrust();
-    private final FirstEventTime firstEventTime = new FirstEventTime();
+    private final FirstEventTime firstEventTime;
     private final KeptParts keptParts = new KeptParts();
     private final Map<String, PeerCount> peerCounts = new HashMap<>();
     private UpstreamRecord record;
@@ -33,9 +33,11 @@
      * Creates the state of a worker at which nothing is in flight.
      *
      * @param record its record
+     * @param ofService how long the workers of its service take to a first event
      */
-    public UpstreamState(UpstreamRecord record) {
+    public UpstreamState(UpstreamRecord record, FirstEventTime ofService) {
         this.record = record;
+        this.firstEventTime = new FirstEventTime(ofService);
         this.hash = Rendezvous.hash(record.id());
     }
 
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -19,9 +19,10 @@
 
     private static List<UpstreamState> workers(int count) {
         List<UpstreamState> workers = new ArrayList<>();
+        FirstEventTime service = new FirstEventTime();
         for (int index = 0; index < count; index++) {
             workers.add(new UpstreamState(
-                    new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", 128, false, 1)));
+                    new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", 128, false, 1), service));
         }
         LatencyLanes.divide(workers);
         return workers;
@@ -74,6 +75,18 @@
         readers.values().forEach(set -> assertEquals(set.size(), 1));
     }
 
+    /** Seen on quiet days: the longest prompts were refused in the first seconds, at workers that had nothing to do. */
+    @Test
+    public void aPromptThatNoWorkerReadsInTimeGoesToAnIdleOneAtOnce() {
+        List<UpstreamState> workers = workers(6);
+        ChoiceRequest longest = request("long", 38_000, 4_000, Lane.TOLERANT, 1_000);
+        UpstreamChooser.Choice choice =
+                new PrefixChooser().choose(longest, workers).orElseThrow();
+        assertEquals(choice.worker().lane(), Lane.TOLERANT);
+        workers.forEach(worker -> worker.started(20_000));
+        assertTrue(new PrefixChooser().choose(longest, workers).isEmpty());
+    }
+
     @Test
     public void longPromptsStayAwayFromSensitiveStreams() {
         List<UpstreamState> workers = workers(6);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -134,7 +134,8 @@
     }
 
     private void keep(UpstreamRecord record) {
-        Map<String, UpstreamState> workers = queue(record.service()).workers();
+        ServiceQueue queue = queue(record.service());
+        Map<String, UpstreamState> workers = queue.workers();
         UpstreamState known = workers.get(record.id());
         if (known != null && known.record().sameIncarnation(record)) {
             known.record(record);
@@ -154,7 +155,7 @@
                 record.dataCentre(),
                 "revision",
                 record.revision());
-        UpstreamState state = new UpstreamState(record);
+        UpstreamState state = new UpstreamState(record, queue.firstEventTime());
         state.keptParts().assumeAll(assumedUntilMillis);
         workers.put(record.id(), state);
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.forward.ChoiceRequest;
+import io.lagoonseam.core.forward.FirstEventTime;
 import io.lagoonseam.core.forward.RepeatBudget;
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamState;
@@ -22,6 +23,7 @@
     private final UpstreamChooser engineChooser;
     private final UpstreamChooser plainChooser;
     private final RepeatBudget budget;
+    private final FirstEventTime firstEventTime = new FirstEventTime();
     private boolean modelEngine;
     private int connectionsPerWorker = Integer.MAX_VALUE;
 
@@ -43,6 +45,11 @@
         return budget;
     }
 
+    /** Returns how long the workers of the service take to a first event. */
+    FirstEventTime firstEventTime() {
+        return firstEventTime;
+    }
+
     Map<String, UpstreamState> workers() {
         return workers;
     }
