Nodes find a failing worker together, by comparison with the others of its service

Nodes now tell each other what came of their attempts of the last 3 s, twice a second. A worker is set aside if its share of failures is above that of the others of its service by more than chance; a node's own judgement compares likewise.

Ruled out: callers that leave early (their lines are separate), a slow worker (first events were in time).

experiment forward-cost: processor time of a request and an event against a bare forwarder.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.bench.fleet.FreePorts;
+import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.forward.CurrentSettings;
 import io.lagoonseam.entry.forward.ForwardEnvironment;
@@ -38,6 +39,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Nodes over the stand-ins of store and workers, all on the loopback address and in one process. */
 public final class LocalDeployment implements AutoCloseable {
@@ -53,7 +55,7 @@
     private final Vertx standIns = Vertx.vertx();
     private final StoreStandIn store = new StoreStandIn(HOST, 0);
     private final List<Node> nodes = new ArrayList<>();
-    private final Consumer<String> events;
+    private final Function<String, DecisionLog> logs;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
@@ -106,10 +108,24 @@
      * @param events hears the events of all nodes
      */
     public LocalDeployment(Consumer<String> events) {
-        this.events = events;
+        this((Function<String, DecisionLog>) name -> new JsonLineLog(name, new SystemTimeSource(), events));
+    }
+
+    private LocalDeployment(Function<String, DecisionLog> logs) {
+        this.logs = logs;
         await(standIns.deployVerticle(store));
     }
 
+    /**
+     * Starts a store without objects, for nodes with logs of another kind.
+     *
+     * @param logs makes the log of a node by its name
+     * @return the deployment
+     */
+    public static LocalDeployment withLogs(Function<String, DecisionLog> logs) {
+        return new LocalDeployment(logs);
+    }
+
     /**
      * Waits for a future.
      *
@@ -152,7 +168,7 @@
                 new HeaderProtocol(),
                 new SystemTimeSource(),
                 new Random(nodes.size()),
-                new JsonLineLog(name, new SystemTimeSource(), events),
+                logs.apply(name),
                 new MetricRegistry());
         ForwardNode node = new ForwardNode(
                 environment,
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.bench.chaos.ChaosExperiment;
 import io.lagoonseam.bench.cost.EntryCostExperiment;
+import io.lagoonseam.bench.cost.ForwardCostExperiment;
 import io.lagoonseam.bench.cost.IdleCostExperiment;
 import io.lagoonseam.bench.cost.RouterCostExperiment;
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
@@ -29,6 +30,7 @@
             FaultExperiment.crossed(),
             FaultExperiment.silent(),
             FaultExperiment.straggler(),
+            new ForwardCostExperiment(),
             new IdleCostExperiment(),
             new MembershipExperiment(),
             new OutageExperiment(),
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -19,7 +19,9 @@
     private final UpstreamTrust trust = new UpstreamTrust();
     private final FirstEventTime firstEventTime;
     private final KeptParts keptParts = new KeptParts();
+    private final RecentOutcomes recentOutcomes = new RecentOutcomes();
     private final Map<String, PeerCount> peerCounts = new HashMap<>();
+    private final Map<String, PeerOutcomes> peerOutcomes = new HashMap<>();
     private UpstreamRecord record;
     private Lane lane = Lane.TOLERANT;
     private int inFlight;
@@ -29,6 +31,8 @@
 
     private record PeerCount(int inFlight, long pendingTokens, long atMillis) {}
 
+    private record PeerOutcomes(OutcomeCount count, long atMillis) {}
+
     /**
      * Creates the state of a worker at which nothing is in flight.
      *
@@ -172,6 +176,42 @@
         }
     }
 
+    /**
+     * Returns what came of this node's latest attempts at the worker.
+     *
+     * @return the outcomes of the last seconds
+     */
+    public RecentOutcomes recentOutcomes() {
+        return recentOutcomes;
+    }
+
+    /**
+     * Takes what came of a peer's latest attempts at the worker.
+     *
+     * @param peer the node
+     * @param count its count
+     * @param nowMillis the time
+     */
+    public void peerOutcomes(String peer, OutcomeCount count, long nowMillis) {
+        peerOutcomes.put(peer, new PeerOutcomes(count, nowMillis));
+    }
+
+    /**
+     * Returns what came of the latest attempts of all nodes, as far as known.
+     *
+     * @param nowMillis the time
+     * @return the sum
+     */
+    public OutcomeCount outcomes(long nowMillis) {
+        OutcomeCount sum = recentOutcomes.count(nowMillis);
+        for (PeerOutcomes outcomes : peerOutcomes.values()) {
+            if (nowMillis - outcomes.atMillis <= PEER_COUNT_MILLIS) {
+                sum = sum.plus(outcomes.count);
+            }
+        }
+        return sum;
+    }
+
     /**
      * Takes the worker's own count, which came with an answer.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamTrust.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamTrust.java
@@ -75,8 +75,9 @@
      *
      * @param outcome what came of an attempt
      * @param nowMillis the time
+     * @param others what came of the latest attempts at the other workers of the service
      */
-    public void observe(Outcome outcome, long nowMillis) {
+    public void observe(Outcome outcome, long nowMillis, OutcomeCount others) {
         double keep = 1 - 1 / MEMORY;
         outcomes = outcomes * keep + 1;
         failures = failures * keep + (outcome == Outcome.ANSWERED ? 0 : 1);
@@ -86,7 +87,9 @@
             return;
         }
         boolean replaced = outcome == Outcome.REPLACED;
-        boolean failing = outcomes >= ENOUGH_OUTCOMES && failures > FAILING_SHARE * outcomes;
+        boolean failing = outcomes >= ENOUGH_OUTCOMES
+                && failures > FAILING_SHARE * outcomes
+                && FailureComparison.fails(outcomes, failures, others);
         if (outcome != Outcome.ANSWERED
                 && (trying || !aside && (replaced || failing || silences >= SILENCES_IN_A_ROW))) {
             setAside(nowMillis);
@@ -94,6 +97,22 @@
         trying = false;
     }
 
+    /**
+     * Sets the worker aside since it fails more than the others, as all nodes together have seen. The pause is the
+     * longest at once: each node tries the worker, so that together they find out soon enough that it is well again.
+     *
+     * @param nowMillis the time
+     * @return whether it was not set aside before
+     */
+    public boolean foundFailing(long nowMillis) {
+        if (aside) {
+            return false;
+        }
+        pauseMillis = LONGEST_PAUSE_MILLIS;
+        setAside(nowMillis);
+        return true;
+    }
+
     private void restore() {
         aside = false;
         trying = false;
--- /dev/null
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/FailureComparisonTest.java
@@ -0,0 +1,39 @@
+package io.lagoonseam.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Workers that fail more than the others, and requests that fail of themselves. */
+public class FailureComparisonTest {
+
+    @Test
+    public void aWorkerThatFailsHalfBesideHealthyOnesIsFound() {
+        assertTrue(FailureComparison.fails(new OutcomeCount(8, 4), new OutcomeCount(20, 1)));
+    }
+
+    @Test
+    public void requestsThatFailAtEachWorkerSpeakAgainstNone() {
+        assertFalse(FailureComparison.fails(new OutcomeCount(8, 3), new OutcomeCount(30, 6)));
+        assertFalse(FailureComparison.fails(new OutcomeCount(20, 20), new OutcomeCount(40, 40)));
+    }
+
+    @Test
+    public void fewFailuresProveNothing() {
+        assertFalse(FailureComparison.fails(new OutcomeCount(2, 2), new OutcomeCount(40, 0)));
+        assertFalse(FailureComparison.fails(new OutcomeCount(30, 5), new OutcomeCount(60, 0)));
+    }
+
+    @Test
+    public void outcomesOfTheLastSecondsCountOnly() {
+        RecentOutcomes recent = new RecentOutcomes();
+        for (long nowMillis = 100_000; nowMillis < 101_000; nowMillis += 100) {
+            recent.observe(nowMillis < 100_500, nowMillis);
+        }
+        assertEquals(recent.count(101_000), new OutcomeCount(10, 5));
+        assertEquals(recent.count(103_400), new OutcomeCount(5, 0));
+        assertEquals(recent.count(110_000), OutcomeCount.NONE);
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -5,6 +5,7 @@
 import io.lagoonseam.core.forward.ForwardService;
 import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.LeastLoadedChooser;
+import io.lagoonseam.core.forward.OutcomeCount;
 import io.lagoonseam.core.forward.PrefixChooser;
 import io.lagoonseam.core.forward.RepeatBudget;
 import io.lagoonseam.core.forward.RoutingConfiguration;
@@ -12,6 +13,7 @@
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.UpstreamTrust;
 import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.time.TimeSource;
 import io.vertx.core.http.HttpClientAgent;
@@ -211,6 +213,32 @@
         partsRead.clear();
     }
 
+    /** Takes what came of an attempt at a worker. */
+    void observe(UpstreamState worker, UpstreamTrust.Outcome outcome) {
+        queue(worker.record().service()).observe(worker, outcome, time.monotonicMillis());
+    }
+
+    /** Sets aside the workers that fail more than the others of their service, with what peers have told. */
+    void setFailingAside() {
+        long nowMillis = time.monotonicMillis();
+        queues.forEach((service, queue) -> queue.setFailingAside(nowMillis).forEach(worker -> {
+            OutcomeCount seen = worker.outcomes(nowMillis);
+            log.decided(
+                    EventCode.UPSTREAM_SET_ASIDE,
+                    "",
+                    "worker",
+                    worker.record().id(),
+                    "service",
+                    service,
+                    "outcome",
+                    "failing at all nodes",
+                    "outcomes",
+                    seen.outcomes(),
+                    "failures",
+                    seen.failures());
+        }));
+    }
+
     /** Takes a repeat from the budget of a service. */
     boolean tryRepeat(String service) {
         return queue(service).budget().tryTake(nodes, time.monotonicMillis());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -159,6 +159,7 @@
     private void onExchange() {
         nodes.tick();
         exchange.tick();
+        dispatcher.setFailingAside();
         exchange.askForCopy();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -327,20 +327,26 @@
             runs--;
             rejections++;
             if (answer.wrongWorker()) {
-                log.observe(worker, UpstreamTrust.Outcome.REPLACED);
+                observe(worker, UpstreamTrust.Outcome.REPLACED);
             }
             decide(new AttemptResult.NotRun("status " + answer.status(), true));
             return;
         }
         if (succeeds() && !answer.genuine()) {
-            log.observe(worker, UpstreamTrust.Outcome.FAILED);
+            observe(worker, UpstreamTrust.Outcome.FAILED);
             decide(new AttemptResult.Broken(WITHOUT_MARK));
             return;
         }
-        log.observe(worker, answer.status() >= 500 ? UpstreamTrust.Outcome.FAILED : UpstreamTrust.Outcome.ANSWERED);
+        observe(worker, answer.status() >= 500 ? UpstreamTrust.Outcome.FAILED : UpstreamTrust.Outcome.ANSWERED);
         decide(new AttemptResult.Answered(answer.status()));
     }
 
+    private void observe(UpstreamState from, UpstreamTrust.Outcome outcome) {
+        boolean aside = from.trust().aside();
+        dispatcher.observe(from, outcome);
+        log.observed(from, outcome, aside);
+    }
+
     private void endAttempt() {
         environment.vertx().cancelTimer(silenceTimer);
         promptRead();
@@ -353,9 +359,9 @@
         endAttempt();
         if (result instanceof AttemptResult.NotRun) {
             connectFailures++;
-            log.observe(worker, UpstreamTrust.Outcome.SILENT);
+            observe(worker, UpstreamTrust.Outcome.SILENT);
         } else {
-            log.observe(
+            observe(
                     worker,
                     result instanceof AttemptResult.Silent
                             ? UpstreamTrust.Outcome.SILENT
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.OutcomeCount;
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
@@ -27,6 +28,10 @@
     private static final int QUIET_ROUNDS = 4;
 
     private static final long REQUEST_MILLIS = 800;
+
+    /** The rounds of which one tells the outcomes of attempts: three of them reach a node while they hold. */
+    private static final int OUTCOME_ROUNDS = 2;
+
     private static final long PULL_MILLIS = 1_500;
 
     private final ForwardEnvironment environment;
@@ -37,6 +42,7 @@
     private final Set<String> lastTold = new HashSet<>();
     private String lastDigest = "";
     private int quietRounds;
+    private int round;
     private int next;
     private boolean pulling;
 
@@ -79,15 +85,16 @@
         if (peers.isEmpty()) {
             return;
         }
-        ForwardMessages.State state = state();
+        ForwardMessages.State state = state(Map.of());
         String digest = state.toString();
         quietRounds = digest.equals(lastDigest) ? quietRounds + 1 : 0;
         lastDigest = digest;
         if (quietRounds % QUIET_ROUNDS != 0) {
             return;
         }
+        round++;
+        byte[] payload = ForwardMessages.encode(round % OUTCOME_ROUNDS == 0 ? state(recentOutcomes()) : state);
         dispatcher.partsTold();
-        byte[] payload = ForwardMessages.encode(state);
         int count = Math.min(FAN_OUT, peers.size());
         for (int index = 0; index < count; index++) {
             next = (next + 1) % peers.size();
@@ -107,7 +114,19 @@
         }
     }
 
-    private ForwardMessages.State state() {
+    private Map<String, ForwardMessages.Outcomes> recentOutcomes() {
+        long nowMillis = environment.time().monotonicMillis();
+        Map<String, ForwardMessages.Outcomes> outcomes = new HashMap<>();
+        for (UpstreamState worker : dispatcher.workers()) {
+            OutcomeCount count = worker.recentOutcomes().count(nowMillis);
+            if (count.outcomes() > 0) {
+                outcomes.put(worker.record().id(), new ForwardMessages.Outcomes(count.outcomes(), count.failures()));
+            }
+        }
+        return outcomes;
+    }
+
+    private ForwardMessages.State state(Map<String, ForwardMessages.Outcomes> outcomes) {
         Map<String, ForwardMessages.Count> counts = new HashMap<>();
         Set<String> told = new HashSet<>();
         for (UpstreamState worker : dispatcher.workers()) {
@@ -122,7 +141,11 @@
         lastTold.clear();
         lastTold.addAll(told);
         return new ForwardMessages.State(
-                knowledge.configurationVersion(), knowledge.upstreamRevision(), counts, dispatcher.partsRead());
+                knowledge.configurationVersion(),
+                knowledge.upstreamRevision(),
+                counts,
+                dispatcher.partsRead(),
+                outcomes);
     }
 
     private CompletionStage<byte[]> onState(String sender, byte[] payload) {
@@ -138,9 +161,14 @@
                         .worker(id)
                         .ifPresent(worker ->
                                 parts.forEach(part -> worker.keptParts().used(part, nowMillis))));
+        state.outcomes()
+                .forEach((id, outcomes) -> dispatcher
+                        .worker(id)
+                        .ifPresent(worker -> worker.peerOutcomes(
+                                sender, new OutcomeCount(outcomes.outcomes(), outcomes.failures()), nowMillis)));
         onVersions(sender, state);
         return CompletableFuture.completedFuture(ForwardMessages.encode(new ForwardMessages.State(
-                knowledge.configurationVersion(), knowledge.upstreamRevision(), Map.of(), Map.of())));
+                knowledge.configurationVersion(), knowledge.upstreamRevision(), Map.of(), Map.of(), Map.of())));
     }
 
     private void onVersions(String peer, ForwardMessages.State state) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -92,11 +92,9 @@
                 lastEventId);
     }
 
-    /** Hands an outcome to the worker's trust and tells if that sets it aside or takes it back. */
-    void observe(UpstreamState worker, UpstreamTrust.Outcome outcome) {
+    /** Tells what came of an attempt, and whether that set the worker aside or took it back. */
+    void observed(UpstreamState worker, UpstreamTrust.Outcome outcome, boolean aside) {
         metrics.attemptEnded(worker.record().id(), outcome.name().toLowerCase(Locale.ROOT));
-        boolean aside = worker.trust().aside();
-        worker.trust().observe(outcome, nowMillis());
         if (aside != worker.trust().aside()) {
             decided(
                     aside ? EventCode.UPSTREAM_BACK : EventCode.UPSTREAM_SET_ASIDE,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
@@ -1,10 +1,13 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.forward.ChoiceRequest;
+import io.lagoonseam.core.forward.FailureComparison;
 import io.lagoonseam.core.forward.FirstEventTime;
+import io.lagoonseam.core.forward.OutcomeCount;
 import io.lagoonseam.core.forward.RepeatBudget;
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.UpstreamTrust;
 import io.lagoonseam.core.forward.WaitingLine;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -58,6 +61,34 @@
         return line;
     }
 
+    /** Takes what came of an attempt. */
+    void observe(UpstreamState worker, UpstreamTrust.Outcome outcome, long nowMillis) {
+        worker.recentOutcomes().observe(outcome != UpstreamTrust.Outcome.ANSWERED, nowMillis);
+        OutcomeCount others = outcomes(nowMillis).minus(worker.outcomes(nowMillis));
+        worker.trust().observe(outcome, nowMillis, others);
+    }
+
+    /** Sets aside the workers that fail more than the others, as all nodes together see it, and returns them. */
+    List<UpstreamState> setFailingAside(long nowMillis) {
+        OutcomeCount all = outcomes(nowMillis);
+        List<UpstreamState> failing = new ArrayList<>();
+        for (UpstreamState worker : workers.values()) {
+            OutcomeCount own = worker.outcomes(nowMillis);
+            if (FailureComparison.fails(own, all.minus(own)) && worker.trust().foundFailing(nowMillis)) {
+                failing.add(worker);
+            }
+        }
+        return failing;
+    }
+
+    private OutcomeCount outcomes(long nowMillis) {
+        OutcomeCount sum = OutcomeCount.NONE;
+        for (UpstreamState worker : workers.values()) {
+            sum = sum.plus(worker.outcomes(nowMillis));
+        }
+        return sum;
+    }
+
     boolean hasWorkers() {
         return !workers.isEmpty();
     }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformTexts.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformTexts.java
@@ -159,6 +159,18 @@
      * @return headers by their names
      */
     public static Map<String, String> promptHeaders(String shared, String own) {
-        return Map.of("X-Token-Counts", "300,40", "X-Prompt-Prefix", shared + ":200," + own + ":100");
+        return promptHeaders(shared, own, 40);
+    }
+
+    /**
+     * Makes the headers of a prompt with an answer of a given length.
+     *
+     * @param shared the id of its shared part
+     * @param own the id of its own part
+     * @param answerTokens the longest answer
+     * @return headers by their names
+     */
+    public static Map<String, String> promptHeaders(String shared, String own, int answerTokens) {
+        return Map.of("X-Token-Counts", "300," + answerTokens, "X-Prompt-Prefix", shared + ":200," + own + ":100");
     }
 }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
@@ -14,7 +14,7 @@
 /** Messages between nodes that forward requests. */
 public final class ForwardMessages {
 
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
 
     private ForwardMessages() {}
 
@@ -26,6 +26,14 @@
      */
     public record Count(int inFlight, long pendingTokens) {}
 
+    /**
+     * What came of a node's latest attempts at one worker.
+     *
+     * @param outcomes attempts that ended
+     * @param failures those that speak against the worker
+     */
+    public record Outcomes(int outcomes, int failures) {}
+
     /**
      * What a node tells of itself.
      *
@@ -33,17 +41,20 @@
      * @param upstreamRevision the store's revision up to which it knows the workers, -1 for none
      * @param counts what it has in flight, by worker; workers that are not named keep their count
      * @param parts hashes of the shared prompt parts that workers have read for it since it last told, by worker
+     * @param outcomes what came of its latest attempts, by worker; empty in rounds that do not tell them
      */
     public record State(
             long configurationVersion,
             long upstreamRevision,
             Map<String, Count> counts,
-            Map<String, List<Long>> parts) {
+            Map<String, List<Long>> parts,
+            Map<String, Outcomes> outcomes) {
 
         /** Copies the maps. */
         public State {
             counts = Map.copyOf(counts);
             parts = Map.copyOf(parts);
+            outcomes = Map.copyOf(outcomes);
         }
     }
 
@@ -132,6 +143,12 @@
                     packer.packLong(part);
                 }
             }
+            packer.packMapHeader(state.outcomes().size());
+            for (Map.Entry<String, Outcomes> entry : state.outcomes().entrySet()) {
+                packer.packString(entry.getKey())
+                        .packInt(entry.getValue().outcomes())
+                        .packInt(entry.getValue().failures());
+            }
         });
     }
 
@@ -152,10 +169,21 @@
                 String id = unpacker.unpackString();
                 counts.put(id, new Count(unpacker.unpackInt(), unpacker.unpackLong()));
             }
-            return new State(configurationVersion, upstreamRevision, counts, readParts(unpacker));
+            Map<String, List<Long>> parts = readParts(unpacker);
+            return new State(configurationVersion, upstreamRevision, counts, parts, readOutcomes(unpacker));
         });
     }
 
+    private static Map<String, Outcomes> readOutcomes(MessageUnpacker unpacker) throws IOException {
+        int size = unpacker.unpackMapHeader();
+        Map<String, Outcomes> outcomes = new HashMap<>();
+        for (int index = 0; index < size; index++) {
+            String worker = unpacker.unpackString();
+            outcomes.put(worker, new Outcomes(unpacker.unpackInt(), unpacker.unpackInt()));
+        }
+        return outcomes;
+    }
+
     private static Map<String, List<Long>> readParts(MessageUnpacker unpacker) throws IOException {
         int size = unpacker.unpackMapHeader();
         Map<String, List<Long>> parts = new HashMap<>();
--- a/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
+++ b/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
@@ -12,7 +12,11 @@
 public class ForwardMessagesTest {
 
     private static final ForwardMessages.State STATE = new ForwardMessages.State(
-            7, 530, Map.of("w1", new ForwardMessages.Count(3, 17_000)), Map.of("w1", List.of(1L, -5L)));
+            7,
+            530,
+            Map.of("w1", new ForwardMessages.Count(3, 17_000)),
+            Map.of("w1", List.of(1L, -5L)),
+            Map.of("w1", new ForwardMessages.Outcomes(12, 5)));
 
     @Test
     public void aStateIsReadAsItWasWritten() {
