Four failures before a worker is compared with the others

Answers of half of the workers were lost by resets for six seconds, in one of six attempts at each of four; the worker with 17 of them only had the most requests. Nodes told each other so rightly that none of the model workers was set aside, but three failures of ten set a plain worker aside at all nodes at 27.5 s; four are asked for now.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FailureComparison.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FailureComparison.java
@@ -18,7 +18,7 @@
     private static final double LEAST_FAILING = 0.25;
 
     /** The failures below which chance is not ruled out. */
-    private static final int LEAST_FAILURES = 3;
+    private static final int LEAST_FAILURES = 4;
 
     /**
      * How far the shares have to differ, in standard deviations of the difference: one in 300 by chance, since each
