--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FailureComparison.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FailureComparison.java
@@ -36,11 +36,12 @@
      * @return whether it fails more than they do
      */
     public static boolean fails(OutcomeCount worker, OutcomeCount others) {
-        return fails(worker.outcomes(), worker.failures(), others);
+        return worker.failures() >= LEAST_FAILURES && fails(worker.outcomes(), worker.failures(), others);
     }
 
+    /** Compares counts that may be weighted; whether there are enough of them is the caller's matter. */
     static boolean fails(double outcomes, double failures, OutcomeCount others) {
-        if (failures < LEAST_FAILURES || failures < LEAST_FAILING * outcomes) {
+        if (failures < LEAST_FAILING * outcomes) {
             return false;
         }
         double outcomesThere = others.outcomes() + ASSUMED_OUTCOMES;
