Ask the home for parts that nobody is known to keep; watch the configuration longer where many nodes watch; memory to 0.85

They now ask the home, which gives what it has.

The watch of the configuration now lasts half a second for each node, between 4 and 25 s: nodes tell each other of newer versions, so one new watch in half a second is enough. The watch of workers stays at 4 s, since its failures tell of an outage.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.core.hash.Rendezvous;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -27,7 +28,7 @@
      * once they are pushed out each prompt is read whole, which lasts longer, so that more run at a time and push out
      * more.
      */
-    private static final double PROMPT_MEMORY_SHARE = 0.6;
+    private static final double PROMPT_MEMORY_SHARE = 0.85;
 
     @Override
     public Optional<Choice> choose(ChoiceRequest request, Collection<UpstreamState> workers) {
@@ -36,10 +37,11 @@
             return Optional.empty();
         }
         UpstreamState home = order.get(0);
+        UpstreamState firstHome = firstHome(request, workers);
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
         for (UpstreamState worker : order) {
-            Choice choice = choice(request, worker, home, workers);
+            Choice choice = choice(request, worker, firstHome, workers);
             double millis = expectedMillis(request, choice);
             if (worker.equals(home) && inTime(request, millis)) {
                 return Optional.of(choice);
@@ -71,12 +73,21 @@
                 order.add(worker);
             }
         }
-        long affinity = request.prompt().affinity();
-        order.sort(Comparator.comparing((UpstreamState worker) -> worker.lane() != request.lane())
-                .thenComparing(worker -> -Rendezvous.mix(affinity, worker.hash())));
+        order.sort(byPlace(request));
         return order;
     }
 
+    /** Returns the worker that would be the home if none were full. */
+    private static UpstreamState firstHome(ChoiceRequest request, Collection<UpstreamState> workers) {
+        return Collections.min(workers, byPlace(request));
+    }
+
+    private static Comparator<UpstreamState> byPlace(ChoiceRequest request) {
+        long affinity = request.prompt().affinity();
+        return Comparator.comparing((UpstreamState worker) -> worker.lane() != request.lane())
+                .thenComparing(worker -> -Rendezvous.mix(affinity, worker.hash()));
+    }
+
     /** Whether the prompt would push shared parts out of the memory. An idle worker takes a prompt of any size. */
     private static boolean crowded(ChoiceRequest request, UpstreamState worker) {
         if (request.lane() != Lane.TOLERANT || request.memoryTokens() == 0) {
@@ -99,7 +110,10 @@
                 .expectedMillis(worker.pendingTokens(request.nowMillis()) + choice.tokensToRead());
     }
 
-    /** A worker that lacks the shared parts copies them from one that keeps them, or reads them if none does. */
+    /**
+     * A worker that lacks the shared parts copies them from one that keeps them. If none is known to, it asks the home,
+     * which keeps them more often than this node hears of, and reads what the home lacks.
+     */
     private static Choice choice(
             ChoiceRequest request, UpstreamState worker, UpstreamState home, Collection<UpstreamState> workers) {
         String reason = worker.equals(home) ? "home" : "spill";
@@ -113,7 +127,10 @@
                 return new Choice(worker, ownTokens, Optional.of(other), reason + "-copy");
             }
         }
-        return new Choice(worker, request.prompt().tokens(), Optional.empty(), reason + "-cold");
+        boolean none =
+                worker.equals(home) || request.avoided().contains(home.record().id());
+        Optional<UpstreamState> asked = none ? Optional.empty() : Optional.of(home);
+        return new Choice(worker, request.prompt().tokens(), asked, reason + (asked.isEmpty() ? "-cold" : "-ask"));
     }
 
     private static boolean keeps(UpstreamState worker, ChoiceRequest request) {
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -90,6 +90,21 @@
         assertTrue(new PrefixChooser().choose(longest, workers).isEmpty());
     }
 
+    /** On large deployments a node rarely hears who has read a part; the home mostly has. */
+    @Test
+    public void aRequestThatLeavesItsHomeAsksItForPartsThatNobodyIsKnownToKeep() {
+        List<UpstreamState> workers = workers(6);
+        ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
+        UpstreamState home =
+                new PrefixChooser().choose(request, workers).orElseThrow().worker();
+        home.started(200_000, 200_000);
+        UpstreamChooser.Choice spilled =
+                new PrefixChooser().choose(request, workers).orElseThrow();
+        assertFalse(spilled.worker().equals(home));
+        assertEquals(spilled.copyFrom(), Optional.of(home));
+        assertEquals(spilled.tokensToRead(), 16_700);
+    }
+
     @Test
     public void longPromptsStayAwayFromSensitiveStreams() {
         List<UpstreamState> workers = workers(6);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -10,6 +10,7 @@
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.store.CollectionFollower;
 import io.lagoonseam.entry.store.CollectionStore;
+import io.lagoonseam.entry.store.WatchPolicy;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -18,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /** One node that forwards requests: it wires the parts, runs their timers, and stops without cutting anything off. */
 public final class ForwardNode {
@@ -100,17 +102,17 @@
                         store,
                         CollectionStore.CONFIGURATION,
                         knowledge.configurationListener(),
-                        CollectionFollower.PROMPT_WATCH_MILLIS),
+                        () -> WatchPolicy.waitMillis(dispatcher.nodes())),
                 follower(
                         store,
                         CollectionStore.UPSTREAMS,
                         knowledge.upstreamListener(),
-                        CollectionFollower.PROMPT_WATCH_MILLIS),
-                follower(store, CollectionStore.NODES, nodes, CollectionFollower.PATIENT_WATCH_MILLIS));
+                        () -> CollectionFollower.PROMPT_WATCH_MILLIS),
+                follower(store, CollectionStore.NODES, nodes, () -> CollectionFollower.PATIENT_WATCH_MILLIS));
     }
 
     private CollectionFollower follower(
-            CollectionStore store, String collection, CollectionFollower.Listener listener, long watchMillis) {
+            CollectionStore store, String collection, CollectionFollower.Listener listener, LongSupplier watchMillis) {
         return new CollectionFollower(
                 environment.vertx(), store, collection, listener, environment.random(), watchMillis);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Random;
+import java.util.function.LongSupplier;
 
 /**
  * Follows a collection: a listing, then watches from its revision, and a new listing where the history is gone. All of
@@ -42,7 +43,7 @@
     private final String collection;
     private final Listener listener;
     private final Random random;
-    private final long watchMillis;
+    private final LongSupplier watchMillis;
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private int listings;
@@ -86,10 +87,15 @@
      * @param collection the collection
      * @param listener hears what is in it
      * @param random spreads the calls of several nodes
-     * @param watchMillis the longest wait of a watch, in milliseconds
+     * @param watchMillis the longest wait of each new watch, in milliseconds
      */
     public CollectionFollower(
-            Vertx vertx, CollectionStore store, String collection, Listener listener, Random random, long watchMillis) {
+            Vertx vertx,
+            CollectionStore store,
+            String collection,
+            Listener listener,
+            Random random,
+            LongSupplier watchMillis) {
         this.vertx = vertx;
         this.store = store;
         this.collection = collection;
@@ -145,7 +151,7 @@
 
     private void watch() {
         if (!stopped) {
-            store.watch(collection, revision, watchMillis).onSuccess(this::onChanged);
+            store.watch(collection, revision, watchMillis.getAsLong()).onSuccess(this::onChanged);
         }
     }
 
