--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -10,7 +10,7 @@
  * @param objectiveMillis the latency objective
  * @param objectiveLeftMillis what is left of it, 0 if it has passed
  * @param dataCentre where this node is
- * @param memoryTokens what the memory of each worker holds, 0 if unknown
+ * @param memoryTokens what the memory of each worker holds, 0 if it is unknown or shall not matter
  * @param avoided workers that it was sent to before
  * @param nowMillis the time
  */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FailureComparison.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FailureComparison.java
@@ -6,9 +6,6 @@
  */
 public final class FailureComparison {
 
-    /** The share of failures that is expected at the least; deployments' own errors are some per cent. */
-    private static final double LEAST_EXPECTED = 0.05;
-
     /** Outcomes of the others that are assumed besides those that were seen: one failure in six. */
     private static final double ASSUMED_OUTCOMES = 3;
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -28,7 +28,7 @@
      * once they are pushed out each prompt is read whole, which lasts longer, so that more run at a time and push out
      * more.
      */
-    private static final double PROMPT_MEMORY_SHARE = 0.85;
+    private static final double PROMPT_MEMORY_SHARE = 0.6;
 
     @Override
     public Optional<Choice> choose(ChoiceRequest request, Collection<UpstreamState> workers) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -96,7 +96,9 @@
         Optional<ForwardService> service = configuration == null ? Optional.empty() : configuration.service(name);
         service.ifPresent(found -> {
             queue.modelEngine(found.modelEngine());
-            queue.memoryTokens(found.memoryTokens());
+            // where all counts arrive in time, the tokens that wait to be read tell more than the memory that is held
+            boolean countsArrive = nodes <= PeerExchange.FAN_OUT + 1;
+            queue.memoryTokens(countsArrive ? 0 : found.memoryTokens());
             queue.connectionsPerWorker(
                     Math.max(1, (int) (CONNECTION_SHARE * found.maxConnections() / Math.max(1, nodes))));
         });
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -22,7 +22,7 @@
 final class PeerExchange {
 
     /** The nodes that each round tells, so that a node's messages do not grow with the fleet. */
-    private static final int FAN_OUT = 8;
+    static final int FAN_OUT = 8;
 
     /** The rounds without a change after which counts are told all the same. */
     private static final int QUIET_ROUNDS = 4;
