Large deployments reckon with the prompts that wait at a worker, from the worker's own count

What a worker tells with its answers counts the requests without a first token apart: their number times the mean of what such a prompt has to be read of is what waits there, whoever sent it. Nodes with more than eight peers pass it on and use it where it is more than what they were told. Smaller deployments know all counts and do as before.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.core.hash.Rendezvous;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** What this node knows of one worker: its record, what is in flight there, and how it answers. */
 public final class UpstreamState {
@@ -31,9 +32,9 @@
     private int inFlight;
     private long pendingTokens;
     private long heldTokens;
-    private int hintedRequests;
+    private WorkerLoad hinted = WorkerLoad.NONE;
     private long hintedAtMillis = Long.MIN_VALUE / 2;
-    private int passedOnRequests;
+    private WorkerLoad passedOn = WorkerLoad.NONE;
     private long passedOnAtMillis = Long.MIN_VALUE / 2;
 
     private record PeerCount(int inFlight, long pendingTokens, long atMillis) {}
@@ -241,11 +242,11 @@
     /**
      * Takes the worker's own count, which came with an answer.
      *
-     * @param requests running and waiting requests of all nodes
+     * @param load requests of all nodes
      * @param nowMillis the time
      */
-    public void hint(int requests, long nowMillis) {
-        hintedRequests = requests;
+    public void hint(WorkerLoad load, long nowMillis) {
+        hinted = load;
         hintedAtMillis = nowMillis;
     }
 
@@ -253,20 +254,21 @@
      * Returns the worker's own count if it came lately with an answer to this node.
      *
      * @param nowMillis the time
-     * @return the count, or -1
+     * @return the count, or empty
      */
-    public int freshHint(long nowMillis) {
-        return nowMillis - hintedAtMillis <= PASSED_ON_MILLIS - HINT_MILLIS ? hintedRequests : -1;
+    public Optional<WorkerLoad> freshHint(long nowMillis) {
+        boolean fresh = nowMillis - hintedAtMillis <= PASSED_ON_MILLIS - HINT_MILLIS;
+        return fresh ? Optional.of(hinted) : Optional.empty();
     }
 
     /**
-     * Takes the worker's own count that a peer has passed on.
+     * Takes the worker's own count from the exchange, where the counts of all nodes do not arrive in time.
      *
-     * @param requests running and waiting requests of all nodes
+     * @param load requests of all nodes
      * @param nowMillis the time
      */
-    public void passedOnHint(int requests, long nowMillis) {
-        passedOnRequests = requests;
+    public void passedOnHint(WorkerLoad load, long nowMillis) {
+        passedOn = load;
         passedOnAtMillis = nowMillis;
     }
 
@@ -284,18 +286,27 @@
             }
         }
         if (nowMillis - hintedAtMillis <= HINT_MILLIS) {
-            return Math.max(sum, hintedRequests);
+            return Math.max(sum, hinted.requests());
         }
-        return nowMillis - passedOnAtMillis <= PASSED_ON_MILLIS ? Math.max(sum, passedOnRequests) : sum;
+        return nowMillis - passedOnAtMillis <= PASSED_ON_MILLIS ? Math.max(sum, passedOn.requests()) : sum;
     }
 
     /**
      * Returns the prompt tokens of all nodes' requests that the worker has not read yet, as far as known.
      *
      * @param nowMillis the time
-     * @return a count
+     * @return what the nodes tell, or the requests without a first token that the worker told times the mean of what
+     *     such requests have to read, whichever is more
      */
     public long pendingTokens(long nowMillis) {
+        long sum = toldPendingTokens(nowMillis);
+        if (nowMillis - passedOnAtMillis > PASSED_ON_MILLIS) {
+            return sum;
+        }
+        return Math.max(sum, Math.round(passedOn.waiting() * promptSizes.meanUnreadTokens(lane)));
+    }
+
+    private long toldPendingTokens(long nowMillis) {
         long sum = pendingTokens;
         for (PeerCount count : peerCounts.values()) {
             if (nowMillis - count.atMillis <= PEER_COUNT_MILLIS) {
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -88,7 +88,7 @@
         Play(boolean careful) {
             this.careful = careful;
             PromptSizes sizes = new PromptSizes();
-            sizes.observe(Lane.TOLERANT, SHARED_TOKENS + OWN_TOKENS);
+            sizes.observe(Lane.TOLERANT, SHARED_TOKENS + OWN_TOKENS, OWN_TOKENS + SHARED_TOKENS / 4);
             UpstreamRecord record = new UpstreamRecord("w", 1, "llm", "10.0.0.1", 80, "a", 64, false, 1);
             for (int node = 0; node < NODES; node++) {
                 views.add(new UpstreamState(record, new FirstEventTime(), sizes));
@@ -111,9 +111,9 @@
                 }
                 if (careful && nowMillis - toldMillis >= PASSED_ON_MILLIS) {
                     toldMillis = nowMillis;
-                    int requests = reading.size() + running.size();
+                    WorkerLoad load = new WorkerLoad(running.size(), reading.size());
                     for (UpstreamState view : views) {
-                        view.passedOnHint(requests, nowMillis);
+                        view.passedOnHint(load, nowMillis);
                     }
                 }
                 place(nowMillis);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -198,7 +198,7 @@
         Optional<UpstreamChooser.Choice> choice =
                 queue.choose(request, environment.settings().dataCentre(), nowMillis);
         choice.ifPresent(found -> {
-            queue.promptSent(request.lane(), request.prompt().tokens());
+            queue.promptSent(request.lane(), request.prompt().tokens(), found.tokensToRead());
             request.send(found);
         });
         return choice.isPresent();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -263,9 +263,7 @@
     public void onHead(AnswerHead head, MultiMap headers) {
         answer = head;
         answerHeaders = headers;
-        if (head.requestsThere() >= 0) {
-            worker.hint(head.requestsThere(), nowMillis());
-        }
+        head.load().ifPresent(load -> worker.hint(load, nowMillis()));
     }
 
     private boolean succeeds() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.OutcomeCount;
 import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.WorkerLoad;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
 import io.lagoonseam.wire.ForwardMessages;
@@ -128,22 +129,23 @@
     }
 
     /** Where the counts of all nodes do not arrive in time, what workers have told some of them takes their place. */
-    private Map<String, Integer> loads(List<String> peers) {
-        Map<String, Integer> loads = new HashMap<>();
+    private Map<String, ForwardMessages.Load> loads(List<String> peers) {
+        Map<String, ForwardMessages.Load> loads = new HashMap<>();
         if (peers.size() <= FAN_OUT) {
             return loads;
         }
         long nowMillis = environment.time().monotonicMillis();
         for (UpstreamState worker : dispatcher.workers()) {
-            int requests = worker.freshHint(nowMillis);
-            if (requests >= 0) {
-                loads.put(worker.record().id(), requests);
-            }
+            worker.freshHint(nowMillis).ifPresent(load -> {
+                worker.passedOnHint(load, nowMillis);
+                loads.put(worker.record().id(), new ForwardMessages.Load(load.running(), load.waiting()));
+            });
         }
         return loads;
     }
 
-    private ForwardMessages.State state(Map<String, ForwardMessages.Outcomes> outcomes, Map<String, Integer> loads) {
+    private ForwardMessages.State state(
+            Map<String, ForwardMessages.Outcomes> outcomes, Map<String, ForwardMessages.Load> loads) {
         Map<String, ForwardMessages.Count> counts = new HashMap<>();
         Set<String> told = new HashSet<>();
         for (UpstreamState worker : dispatcher.workers()) {
@@ -185,8 +187,10 @@
                         .ifPresent(worker -> worker.peerOutcomes(
                                 sender, new OutcomeCount(outcomes.outcomes(), outcomes.failures()), nowMillis)));
         state.loads()
-                .forEach((id, requests) ->
-                        dispatcher.worker(id).ifPresent(worker -> worker.passedOnHint(requests, nowMillis)));
+                .forEach((id, load) -> dispatcher
+                        .worker(id)
+                        .ifPresent(worker ->
+                                worker.passedOnHint(new WorkerLoad(load.running(), load.waiting()), nowMillis)));
         onVersions(sender, state);
         return CompletableFuture.completedFuture(ForwardMessages.encode(new ForwardMessages.State(
                 knowledge.configurationVersion(),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ServiceQueue.java
@@ -63,8 +63,8 @@
     }
 
     /** Takes the size of a prompt that is sent. */
-    void promptSent(Lane lane, long tokens) {
-        promptSizes.observe(lane, tokens);
+    void promptSent(Lane lane, long tokens, long unreadTokens) {
+        promptSizes.observe(lane, tokens, unreadTokens);
     }
 
     Map<String, UpstreamState> workers() {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
@@ -34,6 +34,14 @@
      */
     public record Outcomes(int outcomes, int failures) {}
 
+    /**
+     * What a worker told a node of its load.
+     *
+     * @param running requests of all nodes that have had their first token
+     * @param waiting those that have not
+     */
+    public record Load(int running, int waiting) {}
+
     /**
      * What a node tells of itself.
      *
@@ -50,7 +58,7 @@
             Map<String, Count> counts,
             Map<String, List<Long>> parts,
             Map<String, Outcomes> outcomes,
-            Map<String, Integer> loads) {
+            Map<String, Load> loads) {
 
         /** Copies the maps. */
         public State {
@@ -153,8 +161,10 @@
                         .packInt(entry.getValue().failures());
             }
             packer.packMapHeader(state.loads().size());
-            for (Map.Entry<String, Integer> entry : state.loads().entrySet()) {
-                packer.packString(entry.getKey()).packInt(entry.getValue());
+            for (Map.Entry<String, Load> entry : state.loads().entrySet()) {
+                packer.packString(entry.getKey())
+                        .packInt(entry.getValue().running())
+                        .packInt(entry.getValue().waiting());
             }
         });
     }
@@ -182,11 +192,12 @@
         });
     }
 
-    private static Map<String, Integer> readLoads(MessageUnpacker unpacker) throws IOException {
+    private static Map<String, Load> readLoads(MessageUnpacker unpacker) throws IOException {
         int size = unpacker.unpackMapHeader();
-        Map<String, Integer> loads = new HashMap<>();
+        Map<String, Load> loads = new HashMap<>();
         for (int index = 0; index < size; index++) {
-            loads.put(unpacker.unpackString(), unpacker.unpackInt());
+            String worker = unpacker.unpackString();
+            loads.put(worker, new Load(unpacker.unpackInt(), unpacker.unpackInt()));
         }
         return loads;
     }
--- a/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
+++ b/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
@@ -17,7 +17,7 @@
             Map.of("w1", new ForwardMessages.Count(3, 17_000)),
             Map.of("w1", List.of(1L, -5L)),
             Map.of("w1", new ForwardMessages.Outcomes(12, 5)),
-            Map.of("w2", 31));
+            Map.of("w2", new ForwardMessages.Load(31, 4)));
 
     @Test
     public void aStateIsReadAsItWasWritten() {
