Tell peers the end of a worker's last request again

The first build noted the workers as told, so the second left out those at which nothing runs any more: the zeros were never sent and peers counted such requests on for 1.5 s.

The message is built once and what is told only in some rounds is added. PeerExchangeTest failed before and passes.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -86,7 +86,7 @@
         if (peers.isEmpty()) {
             return;
         }
-        ForwardMessages.State state = state(Map.of(), Map.of());
+        ForwardMessages.State state = state();
         String digest = state.toString();
         quietRounds = digest.equals(lastDigest) ? quietRounds + 1 : 0;
         lastDigest = digest;
@@ -95,7 +95,7 @@
         }
         round++;
         Map<String, ForwardMessages.Outcomes> outcomes = round % OUTCOME_ROUNDS == 0 ? recentOutcomes() : Map.of();
-        byte[] payload = ForwardMessages.encode(state(outcomes, loads(peers)));
+        byte[] payload = ForwardMessages.encode(state.with(outcomes, loads(peers)));
         dispatcher.partsTold();
         int count = Math.min(FAN_OUT, peers.size());
         for (int index = 0; index < count; index++) {
@@ -128,7 +128,10 @@
         return outcomes;
     }
 
-    /** Where the counts of all nodes do not arrive in time, what workers have told some of them takes their place. */
+    /**
+     * Returns what workers told this node lately, and uses it here too: where the counts of all nodes do not arrive in
+     * time, it takes their place.
+     */
     private Map<String, ForwardMessages.Load> loads(List<String> peers) {
         Map<String, ForwardMessages.Load> loads = new HashMap<>();
         if (peers.size() <= FAN_OUT) {
@@ -144,8 +147,8 @@
         return loads;
     }
 
-    private ForwardMessages.State state(
-            Map<String, ForwardMessages.Outcomes> outcomes, Map<String, ForwardMessages.Load> loads) {
+    /** Returns what is told in each round, and notes that it is told: called once a round. */
+    private ForwardMessages.State state() {
         Map<String, ForwardMessages.Count> counts = new HashMap<>();
         Set<String> told = new HashSet<>();
         for (UpstreamState worker : dispatcher.workers()) {
@@ -164,8 +167,8 @@
                 knowledge.upstreamRevision(),
                 counts,
                 dispatcher.partsRead(),
-                outcomes,
-                loads);
+                Map.of(),
+                Map.of());
     }
 
     private CompletionStage<byte[]> onState(String sender, byte[] payload) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
@@ -67,6 +67,17 @@
             outcomes = Map.copyOf(outcomes);
             loads = Map.copyOf(loads);
         }
+
+        /**
+         * Adds what is not told in each round.
+         *
+         * @param newOutcomes what came of the latest attempts, by worker
+         * @param newLoads requests of all nodes as workers told this node lately, by worker
+         * @return the state with both
+         */
+        public State with(Map<String, Outcomes> newOutcomes, Map<String, Load> newLoads) {
+            return new State(configurationVersion, upstreamRevision, counts, parts, newOutcomes, newLoads);
+        }
     }
 
     /**
