Read the change once more: one piece where it had two, and what nobody uses goes

- Counts and outcomes of peers were kept in two maps with the same rule of age, read by three loops: PeerReports serves both, and forgets what is too old.
- The messages between nodes had copies of OutcomeCount and WorkerLoad; they use those of the core.
- Two ways to ask a peer for its copy, four loops over what it told, and a text of the whole state made four times a second only to be compared: one pull, one loop, equals.
- The store's silence and return were told by two twins: StoreContact.
- DecisionLog.NOOP was written again twice.
Refusals and failures share the writing of their line, cancel and fail the closing.
- The hash of a prompt's shared part was made again for each worker of each choice: made once.
The names of metrics were counted anew for each request beyond their limit: kept by kind.
- Without a caller: CollectionFollower.stop, FrontServer.close, EventSplitter.events, the expected pause of RetryAfter, which was always 0.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/cost/ForwardCostExperiment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/cost/ForwardCostExperiment.java
@@ -7,7 +7,6 @@
 import io.lagoonseam.bench.experiment.ExperimentContext;
 import io.lagoonseam.bench.experiment.ExperimentResult;
 import io.lagoonseam.core.audit.DecisionLog;
-import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.entry.log.JsonLineLog;
 import io.lagoonseam.standin.worker.WorkerOptions;
@@ -105,19 +104,6 @@
         return future.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
-    /** Decides nothing and writes nothing. */
-    private static final class NoLog implements DecisionLog {
-        @Override
-        public void record(EventCode code, String detail) {
-            // nothing is written
-        }
-
-        @Override
-        public void decided(EventCode code, String requestId, Object... fields) {
-            // nothing is written
-        }
-    }
-
     private static WorkerOptions plainWorker(String id) {
         return new WorkerOptions(id, 1_000, 1_000, 1, 0, 0, 0, 0);
     }
@@ -130,16 +116,16 @@
     public ExperimentResult run(ExperimentContext context) throws Exception {
         Vertx callers = Vertx.vertx();
         try (PrintStream sink = new PrintStream(new FileOutputStream("/dev/null"), false, StandardCharsets.UTF_8);
-                LocalDeployment silent = LocalDeployment.withLogs(name -> new NoLog());
+                LocalDeployment silent = LocalDeployment.withLogs(name -> DecisionLog.NOOP);
                 LocalDeployment logging =
                         LocalDeployment.withLogs(name -> new JsonLineLog(name, new SystemTimeSource(), line -> {
                             sink.println(line);
                             sink.flush();
                         }))) {
             Map<Forwarder, Target> targets = new EnumMap<>(Forwarder.class);
-            targets.put(Forwarder.NODE_WITHOUT_LOG, node(silent, List.of()));
+            targets.put(Forwarder.NODE_WITHOUT_LOG, node(silent));
             List<Long> before = logThreads();
-            Target node = node(logging, List.of());
+            Target node = node(logging);
             List<Long> logs = new ArrayList<>(logThreads());
             logs.removeAll(before);
             targets.put(Forwarder.NODE, new Target(node.vertx(), node.plainPort(), node.streamPort(), logs));
@@ -178,14 +164,14 @@
         }
     }
 
-    private static Target node(LocalDeployment deployment, List<Long> otherThreads) {
+    private static Target node(LocalDeployment deployment) {
         deployment.worker("app", plainWorker("p1"));
         deployment.worker("llm", engine("e1"));
         deployment.configure();
         LocalDeployment.Node node = deployment.start();
         deployment.awaitReady(node);
         int port = node.settings().callers().port();
-        return new Target(node.vertx(), port, port, otherThreads);
+        return new Target(node.vertx(), port, port, List.of());
     }
 
     private static List<Long> logThreads() {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -123,7 +123,7 @@
             return new Choice(worker, ownTokens, Optional.empty(), reason);
         }
         for (UpstreamState other : workers) {
-            if (!other.equals(worker) && keeps(other, request)) {
+            if (keeps(other, request)) {
                 return new Choice(worker, ownTokens, Optional.of(other), reason + "-copy");
             }
         }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PromptParts.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PromptParts.java
@@ -14,6 +14,7 @@
 
     private final List<Part> parts;
     private final int tokens;
+    private final long affinity;
 
     /**
      * Creates the parts of a prompt.
@@ -23,6 +24,9 @@
     public PromptParts(List<Part> parts) {
         this.parts = List.copyOf(parts);
         this.tokens = parts.stream().mapToInt(Part::tokens).sum();
+        this.affinity = parts.isEmpty()
+                ? 0
+                : Rendezvous.hash(parts.get(Math.max(0, parts.size() - 2)).id());
     }
 
     /**
@@ -66,9 +70,6 @@
      * @return a hash of the last shared part, or of the only part; 0 without parts
      */
     public long affinity() {
-        if (parts.isEmpty()) {
-            return 0;
-        }
-        return Rendezvous.hash(parts.get(Math.max(0, parts.size() - 2)).id());
+        return affinity;
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RetryAfter.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RetryAfter.java
@@ -3,9 +3,7 @@
 /** Tells a refused caller when to come back, spread out so that the callers do not all come back together. */
 public final class RetryAfter {
 
-    /**
-     * The pause without a better estimate, in milliseconds: about what a worker takes to be replaced or trusted again.
-     */
+    /** The mean pause, in milliseconds: about what a worker takes to be replaced or trusted again. */
     private static final long USUAL_MILLIS = 400;
 
     /** The part of the time left after which callers do not wait any more. */
@@ -16,14 +14,12 @@
     /**
      * Chooses the pause.
      *
-     * @param expectedMillis when a place is expected, 0 if that is not known
      * @param leftMillis the time that the request has left
      * @param draw a random number from 0 to 1
      * @return milliseconds
      */
-    public static long millis(long expectedMillis, long leftMillis, double draw) {
-        double base = expectedMillis > 0 ? expectedMillis : USUAL_MILLIS;
-        double spread = base * (0.75 + 0.5 * draw);
+    public static long millis(long leftMillis, double draw) {
+        double spread = USUAL_MILLIS * (0.75 + 0.5 * draw);
         return Math.max(1, Math.round(Math.min(spread, LARGEST_SHARE * leftMillis)));
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -1,18 +1,11 @@
 package io.lagoonseam.core.forward;
 
 import io.lagoonseam.core.hash.Rendezvous;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 /** What this node knows of one worker: its record, what is in flight there, and how it answers. */
 public final class UpstreamState {
 
-    /**
-     * How long a peer's count holds, in milliseconds: some rounds of the exchange, so that a lost one does not count.
-     */
-    private static final long PEER_COUNT_MILLIS = 1_500;
-
     /** How long a worker's own count holds, in milliseconds: about the age that reports have when they arrive. */
     private static final long HINT_MILLIS = 300;
 
@@ -25,8 +18,8 @@
     private final PromptSizes promptSizes;
     private final KeptParts keptParts = new KeptParts();
     private final RecentOutcomes recentOutcomes = new RecentOutcomes();
-    private final Map<String, PeerCount> peerCounts = new HashMap<>();
-    private final Map<String, PeerOutcomes> peerOutcomes = new HashMap<>();
+    private final PeerReports<PeerCount> peerCounts = new PeerReports<>();
+    private final PeerReports<OutcomeCount> peerOutcomes = new PeerReports<>();
     private UpstreamRecord record;
     private Lane lane = Lane.TOLERANT;
     private int inFlight;
@@ -37,9 +30,7 @@
     private WorkerLoad passedOn = WorkerLoad.NONE;
     private long passedOnAtMillis = Long.MIN_VALUE / 2;
 
-    private record PeerCount(int inFlight, long pendingTokens, long atMillis) {}
-
-    private record PeerOutcomes(OutcomeCount count, long atMillis) {}
+    private record PeerCount(int inFlight, long pendingTokens) {}
 
     /**
      * Creates the state of a worker at which nothing is in flight.
@@ -199,7 +190,7 @@
         if (requests == 0 && tokens == 0) {
             peerCounts.remove(peer);
         } else {
-            peerCounts.put(peer, new PeerCount(requests, tokens, nowMillis));
+            peerCounts.put(peer, new PeerCount(requests, tokens), nowMillis);
         }
     }
 
@@ -220,7 +211,7 @@
      * @param nowMillis the time
      */
     public void peerOutcomes(String peer, OutcomeCount count, long nowMillis) {
-        peerOutcomes.put(peer, new PeerOutcomes(count, nowMillis));
+        peerOutcomes.put(peer, count, nowMillis);
     }
 
     /**
@@ -230,13 +221,9 @@
      * @return the sum
      */
     public OutcomeCount outcomes(long nowMillis) {
-        OutcomeCount sum = recentOutcomes.count(nowMillis);
-        for (PeerOutcomes outcomes : peerOutcomes.values()) {
-            if (nowMillis - outcomes.atMillis <= PEER_COUNT_MILLIS) {
-                sum = sum.plus(outcomes.count);
-            }
-        }
-        return sum;
+        OutcomeCount peers = new OutcomeCount((int) peerOutcomes.sum(nowMillis, OutcomeCount::outcomes), (int)
+                peerOutcomes.sum(nowMillis, OutcomeCount::failures));
+        return recentOutcomes.count(nowMillis).plus(peers);
     }
 
     /**
@@ -279,12 +266,7 @@
      * @return the larger of what the nodes tell and what the worker told lately
      */
     public int inFlight(long nowMillis) {
-        int sum = inFlight;
-        for (PeerCount count : peerCounts.values()) {
-            if (nowMillis - count.atMillis <= PEER_COUNT_MILLIS) {
-                sum += count.inFlight;
-            }
-        }
+        int sum = inFlight + (int) peerCounts.sum(nowMillis, PeerCount::inFlight);
         if (nowMillis - hintedAtMillis <= HINT_MILLIS) {
             return Math.max(sum, hinted.requests());
         }
@@ -299,20 +281,10 @@
      *     such requests have to read, whichever is more
      */
     public long pendingTokens(long nowMillis) {
-        long sum = toldPendingTokens(nowMillis);
+        long sum = pendingTokens + peerCounts.sum(nowMillis, PeerCount::pendingTokens);
         if (nowMillis - passedOnAtMillis > PASSED_ON_MILLIS) {
             return sum;
         }
         return Math.max(sum, Math.round(passedOn.waiting() * promptSizes.meanUnreadTokens(lane)));
     }
-
-    private long toldPendingTokens(long nowMillis) {
-        long sum = pendingTokens;
-        for (PeerCount count : peerCounts.values()) {
-            if (nowMillis - count.atMillis <= PEER_COUNT_MILLIS) {
-                sum += count.pendingTokens;
-            }
-        }
-        return sum;
-    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
@@ -20,7 +20,6 @@
     private int eventStart;
     private String pendingId = "";
     private String lastId = "";
-    private int events;
 
     /** Creates a splitter of a stream that begins with its first event. */
     EventSplitter() {
@@ -82,9 +81,6 @@
             lastId = pendingId;
             pendingId = "";
         }
-        if (end - eventStart > 2) {
-            events++;
-        }
         eventStart = end;
         return end;
     }
@@ -128,9 +124,4 @@
     String lastId() {
         return lastId;
     }
-
-    /** Returns the whole events. */
-    int events() {
-        return events;
-    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -49,7 +49,6 @@
     private final Map<String, List<Long>> partsRead = new HashMap<>();
     private RoutingConfiguration configuration;
     private int nodes = 1;
-    private long assumedUntilMillis = Long.MIN_VALUE;
 
     ForwardDispatcher(ForwardEnvironment environment, HttpClientAgent client, UpstreamDirectory directory) {
         this.environment = environment;
@@ -64,7 +63,7 @@
     /** Puts a configuration in force. */
     void configure(RoutingConfiguration value) {
         this.configuration = value;
-        shareConnections();
+        configureQueues();
         refresh();
     }
 
@@ -80,7 +79,7 @@
     void nodes(int value) {
         if (nodes != value) {
             nodes = value;
-            shareConnections();
+            configureQueues();
         }
     }
 
@@ -88,11 +87,11 @@
         return nodes;
     }
 
-    private void shareConnections() {
-        queues.forEach(this::shareConnections);
+    private void configureQueues() {
+        queues.forEach(this::configure);
     }
 
-    private void shareConnections(String name, ServiceQueue queue) {
+    private void configure(String name, ServiceQueue queue) {
         Optional<ForwardService> service = configuration == null ? Optional.empty() : configuration.service(name);
         service.ifPresent(found -> {
             queue.modelEngine(found.modelEngine());
@@ -111,7 +110,7 @@
                     engineChooser,
                     plainChooser,
                     new RepeatBudget(bounds.repeatRatio(), bounds.repeatWindowMillis(), bounds.repeatSlack()));
-            shareConnections(name, queue);
+            configure(name, queue);
             return queue;
         });
     }
@@ -120,10 +119,10 @@
     void refresh() {
         Set<String> serving = new HashSet<>();
         boolean first = connections.isEmpty() && !environment.settings().firstStart();
-        assumedUntilMillis = first ? time.monotonicMillis() + ASSUMED_MILLIS : Long.MIN_VALUE;
+        long assumedUntilMillis = first ? time.monotonicMillis() + ASSUMED_MILLIS : Long.MIN_VALUE;
         for (UpstreamRecord record : directory.serving()) {
             serving.add(record.id());
-            keep(record);
+            keep(record, assumedUntilMillis);
         }
         for (ServiceQueue queue : queues.values()) {
             queue.workers().keySet().removeIf(id -> {
@@ -138,7 +137,7 @@
         pump();
     }
 
-    private void keep(UpstreamRecord record) {
+    private void keep(UpstreamRecord record, long assumedUntilMillis) {
         ServiceQueue queue = queue(record.service());
         Map<String, UpstreamState> workers = queue.workers();
         UpstreamState known = workers.get(record.id());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
-import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.StopPolicy;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.entry.peer.PeerTransportOptions;
@@ -80,7 +79,7 @@
                         .setDecompressionSupported(false)),
                 directory);
         this.knowledge =
-                new StoreKnowledge(environment, decoder, directory, this::onConfiguration, dispatcher::refresh);
+                new StoreKnowledge(environment, decoder, directory, dispatcher::configure, dispatcher::refresh);
         this.front = new FrontServer(environment, dispatcher, knowledge::configuration, metrics);
         metrics.gauge("requests.in_flight", front::inFlight);
         metrics.gauge("nodes.alive", dispatcher::nodes);
@@ -123,10 +122,6 @@
         nodes.addSeeds();
     }
 
-    private void onConfiguration(RoutingConfiguration configuration) {
-        dispatcher.configure(configuration);
-    }
-
     private boolean ready() {
         return !stopping && knowledge.configuration().isPresent() && knowledge.upstreamRevision() >= 0;
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -412,8 +412,7 @@
 
     /** Gives the request up while it has surely not run. */
     private void refuse(String reason) {
-        long pauseMillis =
-                RetryAfter.millis(0, leftMillis(), environment.random().nextDouble());
+        long pauseMillis = RetryAfter.millis(leftMillis(), environment.random().nextDouble());
         answerOwn(SERVICE_UNAVAILABLE, pauseMillis, reason);
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -174,10 +174,6 @@
         over.forEach(HttpConnection::close);
     }
 
-    Future<Void> close() {
-        return server == null ? Future.succeededFuture() : server.close();
-    }
-
     private void onRequest(HttpServerRequest request) {
         new Reading(request).start();
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -44,9 +44,9 @@
     private final Map<String, Node> nodes = new TreeMap<>();
     private final Map<String, String> addressByName = new HashMap<>();
     private final IntConsumer onCount;
+    private final StoreContact contact;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean leaving;
-    private boolean storeAnswers = true;
 
     private static final class Node {
         private final PeerAddress address;
@@ -63,6 +63,7 @@
         this.environment = environment;
         this.store = store;
         this.onCount = onCount;
+        this.contact = new StoreContact(environment.events());
         NodeSettings settings = environment.settings();
         this.ownAddress =
                 new PeerAddress(settings.peers().host(), settings.peers().port());
@@ -257,17 +258,11 @@
 
     @Override
     public void failed(String reason) {
-        if (storeAnswers) {
-            storeAnswers = false;
-            environment.events().record(EventCode.PLATFORM_UNREACHABLE, "nodes: " + reason);
-        }
+        contact.failed("nodes", reason);
     }
 
     @Override
     public void answered() {
-        if (!storeAnswers) {
-            storeAnswers = true;
-            environment.events().record(EventCode.PLATFORM_REACHABLE, "nodes");
-        }
+        contact.answered("nodes");
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerExchange.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 
 /**
  * Tells other nodes what this one has in flight at each worker and which revisions it knows, and asks a node that knows
@@ -41,7 +42,7 @@
     private final NodeDirectory nodes;
     private final Knowledge knowledge;
     private final Set<String> lastTold = new HashSet<>();
-    private String lastDigest = "";
+    private ForwardMessages.State lastState;
     private int quietRounds;
     private int round;
     private int next;
@@ -87,14 +88,13 @@
             return;
         }
         ForwardMessages.State state = state();
-        String digest = state.toString();
-        quietRounds = digest.equals(lastDigest) ? quietRounds + 1 : 0;
-        lastDigest = digest;
+        quietRounds = state.equals(lastState) ? quietRounds + 1 : 0;
+        lastState = state;
         if (quietRounds % QUIET_ROUNDS != 0) {
             return;
         }
         round++;
-        Map<String, ForwardMessages.Outcomes> outcomes = round % OUTCOME_ROUNDS == 0 ? recentOutcomes() : Map.of();
+        Map<String, OutcomeCount> outcomes = round % OUTCOME_ROUNDS == 0 ? recentOutcomes() : Map.of();
         byte[] payload = ForwardMessages.encode(state.with(outcomes, loads(peers)));
         dispatcher.partsTold();
         int count = Math.min(FAN_OUT, peers.size());
@@ -116,13 +116,13 @@
         }
     }
 
-    private Map<String, ForwardMessages.Outcomes> recentOutcomes() {
+    private Map<String, OutcomeCount> recentOutcomes() {
         long nowMillis = environment.time().monotonicMillis();
-        Map<String, ForwardMessages.Outcomes> outcomes = new HashMap<>();
+        Map<String, OutcomeCount> outcomes = new HashMap<>();
         for (UpstreamState worker : dispatcher.workers()) {
             OutcomeCount count = worker.recentOutcomes().count(nowMillis);
             if (count.outcomes() > 0) {
-                outcomes.put(worker.record().id(), new ForwardMessages.Outcomes(count.outcomes(), count.failures()));
+                outcomes.put(worker.record().id(), count);
             }
         }
         return outcomes;
@@ -132,8 +132,8 @@
      * Returns what workers told this node lately, and uses it here too: where the counts of all nodes do not arrive in
      * time, it takes their place.
      */
-    private Map<String, ForwardMessages.Load> loads(List<String> peers) {
-        Map<String, ForwardMessages.Load> loads = new HashMap<>();
+    private Map<String, WorkerLoad> loads(List<String> peers) {
+        Map<String, WorkerLoad> loads = new HashMap<>();
         if (peers.size() <= FAN_OUT) {
             return loads;
         }
@@ -141,7 +141,7 @@
         for (UpstreamState worker : dispatcher.workers()) {
             worker.freshHint(nowMillis).ifPresent(load -> {
                 worker.passedOnHint(load, nowMillis);
-                loads.put(worker.record().id(), new ForwardMessages.Load(load.running(), load.waiting()));
+                loads.put(worker.record().id(), load);
             });
         }
         return loads;
@@ -162,46 +162,32 @@
         }
         lastTold.clear();
         lastTold.addAll(told);
+        return state(counts, dispatcher.partsRead());
+    }
+
+    private ForwardMessages.State state(Map<String, ForwardMessages.Count> counts, Map<String, List<Long>> parts) {
         return new ForwardMessages.State(
-                knowledge.configurationVersion(),
-                knowledge.upstreamRevision(),
-                counts,
-                dispatcher.partsRead(),
-                Map.of(),
-                Map.of());
+                knowledge.configurationVersion(), knowledge.upstreamRevision(), counts, parts, Map.of(), Map.of());
     }
 
     private CompletionStage<byte[]> onState(String sender, byte[] payload) {
         ForwardMessages.State state = ForwardMessages.decodeState(payload);
         long nowMillis = environment.time().monotonicMillis();
-        state.counts()
-                .forEach((id, count) -> dispatcher
-                        .worker(id)
-                        .ifPresent(worker ->
-                                worker.peerCount(sender, count.inFlight(), count.pendingTokens(), nowMillis)));
-        state.parts()
-                .forEach((id, parts) -> dispatcher
-                        .worker(id)
-                        .ifPresent(worker ->
-                                parts.forEach(part -> worker.keptParts().used(part, nowMillis))));
-        state.outcomes()
-                .forEach((id, outcomes) -> dispatcher
-                        .worker(id)
-                        .ifPresent(worker -> worker.peerOutcomes(
-                                sender, new OutcomeCount(outcomes.outcomes(), outcomes.failures()), nowMillis)));
-        state.loads()
-                .forEach((id, load) -> dispatcher
-                        .worker(id)
-                        .ifPresent(worker ->
-                                worker.passedOnHint(new WorkerLoad(load.running(), load.waiting()), nowMillis)));
+        forWorkers(
+                state.counts(),
+                (worker, count) -> worker.peerCount(sender, count.inFlight(), count.pendingTokens(), nowMillis));
+        forWorkers(
+                state.parts(),
+                (worker, parts) -> parts.forEach(part -> worker.keptParts().used(part, nowMillis)));
+        forWorkers(state.outcomes(), (worker, outcomes) -> worker.peerOutcomes(sender, outcomes, nowMillis));
+        forWorkers(state.loads(), (worker, load) -> worker.passedOnHint(load, nowMillis));
         onVersions(sender, state);
-        return CompletableFuture.completedFuture(ForwardMessages.encode(new ForwardMessages.State(
-                knowledge.configurationVersion(),
-                knowledge.upstreamRevision(),
-                Map.of(),
-                Map.of(),
-                Map.of(),
-                Map.of())));
+        return CompletableFuture.completedFuture(ForwardMessages.encode(state(Map.of(), Map.of())));
+    }
+
+    /** Hands what was told of each worker to those that get work here. */
+    private <T> void forWorkers(Map<String, T> told, BiConsumer<UpstreamState, T> use) {
+        told.forEach((id, value) -> dispatcher.worker(id).ifPresent(worker -> use.accept(worker, value)));
     }
 
     private void onVersions(String peer, ForwardMessages.State state) {
@@ -209,13 +195,17 @@
         boolean ahead = state.configurationVersion() > knowledge.configurationVersion()
                 || state.upstreamRevision() > knowledge.upstreamRevision();
         if (ahead && !pulling) {
-            pulling = true;
-            transport
-                    .request(peer, MessageTypes.FORWARD_PULL, new byte[0], PULL_MILLIS)
-                    .thenAccept(reply -> environment.vertx().runOnContext(nothing -> onPulled(peer, reply)));
+            pull(peer);
         }
     }
 
+    private void pull(String peer) {
+        pulling = true;
+        transport
+                .request(peer, MessageTypes.FORWARD_PULL, new byte[0], PULL_MILLIS)
+                .thenAccept(reply -> environment.vertx().runOnContext(nothing -> onPulled(peer, reply)));
+    }
+
     private void onPulled(String peer, PeerReply reply) {
         pulling = false;
         if (reply instanceof PeerReply.Answered answered) {
@@ -231,10 +221,6 @@
         if (knowledge.configurationVersion() >= 0 || peers.isEmpty() || pulling) {
             return;
         }
-        pulling = true;
-        String peer = peers.get(environment.random().nextInt(peers.size()));
-        transport
-                .request(peer, MessageTypes.FORWARD_PULL, new byte[0], PULL_MILLIS)
-                .thenAccept(reply -> environment.vertx().runOnContext(nothing -> onPulled(peer, reply)));
+        pull(peers.get(environment.random().nextInt(peers.size())));
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -133,37 +133,19 @@
     }
 
     void refused(int status, String reason, int arrivals, long retryAfterMillis) {
-        decided(
-                EventCode.REQUEST_REFUSED,
-                "status",
-                status,
-                "reason",
-                reason,
-                "after_ms",
-                ageMillis(),
-                "arrivals",
-                arrivals,
-                "retry_after_ms",
-                retryAfterMillis);
+        givenUp(EventCode.REQUEST_REFUSED, status, reason, arrivals, "retry_after_ms", retryAfterMillis);
         ended(RequestMetrics.Outcome.REFUSED, status, 0);
     }
 
     void failed(int status, String reason, int arrivals, String lastEventId) {
-        decided(
-                EventCode.REQUEST_FAILED,
-                "status",
-                status,
-                "reason",
-                reason,
-                "after_ms",
-                ageMillis(),
-                "arrivals",
-                arrivals,
-                "last_event",
-                lastEventId);
+        givenUp(EventCode.REQUEST_FAILED, status, reason, arrivals, "last_event", lastEventId);
         ended(RequestMetrics.Outcome.FAILED, status, 0);
     }
 
+    private void givenUp(EventCode code, int status, String reason, int arrivals, String name, Object value) {
+        decided(code, "status", status, "reason", reason, "after_ms", ageMillis(), "arrivals", arrivals, name, value);
+    }
+
     void left(int arrivals) {
         decided(EventCode.CALLER_GONE, "after_ms", ageMillis(), "arrivals", arrivals);
         ended(RequestMetrics.Outcome.LEFT, 0, 0);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestMetrics.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestMetrics.java
@@ -1,8 +1,10 @@
 package io.lagoonseam.entry.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -21,7 +23,7 @@
     private static final String OTHER = "other";
 
     private final MetricRegistry registry;
-    private final Set<String> names = new HashSet<>();
+    private final Map<String, Set<String>> namesByKind = new HashMap<>();
 
     RequestMetrics(MetricRegistry registry) {
         this.registry = registry;
@@ -36,26 +38,18 @@
     }
 
     private String bounded(String kind, String name) {
-        String key = kind + "." + name;
-        if (names.contains(key)) {
-            return key;
-        }
-        if (names.stream().filter(known -> known.startsWith(kind + ".")).count() >= NAMES) {
-            return kind + "." + OTHER;
-        }
-        names.add(key);
-        return key;
+        Set<String> names = namesByKind.computeIfAbsent(kind, key -> new HashSet<>());
+        boolean ownName = names.contains(name) || names.size() < NAMES && names.add(name);
+        return kind + "." + (ownName ? name : OTHER);
     }
 
     void ended(String route, String workspace, Outcome outcome, int status, long millis, long firstEventMillis) {
-        registry.counter("requests." + outcome.name().toLowerCase(Locale.ROOT) + "." + status)
-                .inc();
+        String outcomeName = outcome.name().toLowerCase(Locale.ROOT);
+        registry.counter("requests." + outcomeName + "." + status).inc();
         String routeKey = bounded("route", route);
-        registry.counter(routeKey + "." + outcome.name().toLowerCase(Locale.ROOT))
-                .inc();
+        registry.counter(routeKey + "." + outcomeName).inc();
         if (!workspace.isEmpty()) {
-            registry.counter(bounded("workspace", workspace) + "."
-                            + outcome.name().toLowerCase(Locale.ROOT))
+            registry.counter(bounded("workspace", workspace) + "." + outcomeName)
                     .inc();
         }
         if (outcome == Outcome.ANSWERED) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/SettingsReload.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/SettingsReload.java
@@ -17,7 +17,7 @@
     private final CurrentSettings settings;
     private final DecisionLog log;
     private final Runnable onChange;
-    private Optional<NodeSettings> lastRead = Optional.empty();
+    private Optional<NodeSettings> lastRead;
     private List<String> lastErrors = List.of();
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreKnowledge.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreKnowledge.java
@@ -31,11 +31,11 @@
     private final UpstreamDirectory directory;
     private final Consumer<RoutingConfiguration> onConfiguration;
     private final Runnable onUpstreams;
+    private final StoreContact contact;
     private final Map<String, StoredObject> upstreams = new HashMap<>();
     private RoutingConfiguration configuration;
     private StoredObject configurationObject;
     private long upstreamRevision = -1;
-    private boolean storeAnswers = true;
 
     StoreKnowledge(
             ForwardEnvironment environment,
@@ -48,6 +48,7 @@
         this.directory = directory;
         this.onConfiguration = onConfiguration;
         this.onUpstreams = onUpstreams;
+        this.contact = new StoreContact(environment.events());
     }
 
     Optional<RoutingConfiguration> configuration() {
@@ -78,19 +79,9 @@
         return environment.time().monotonicMillis();
     }
 
-    private void onAnswered(String what) {
-        if (!storeAnswers) {
-            storeAnswers = true;
-            environment.events().record(EventCode.PLATFORM_REACHABLE, what);
-        }
-    }
-
     private void onFailed(String what, String reason) {
         directory.outage(nowMillis());
-        if (storeAnswers) {
-            storeAnswers = false;
-            environment.events().record(EventCode.PLATFORM_UNREACHABLE, what + ": " + reason);
-        }
+        contact.failed(what, reason);
     }
 
     private void takeConfiguration(StoredObject object) {
@@ -132,7 +123,7 @@
 
         @Override
         public void answered() {
-            onAnswered("configuration");
+            contact.answered("configuration");
         }
     }
 
@@ -163,7 +154,7 @@
 
         @Override
         public void answered() {
-            onAnswered("workers");
+            contact.answered("workers");
         }
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -132,21 +132,20 @@
     }
 
     private void fail(AttemptResult result) {
-        if (over) {
-            return;
-        }
-        over = true;
-        if (connection != null) {
-            connection.close();
+        if (!over) {
+            close();
+            listener.onFailure(result);
         }
-        listener.onFailure(result);
     }
 
     /** Ends the attempt without a report; the worker learns it from the closed connection. */
     void cancel() {
-        if (over) {
-            return;
+        if (!over) {
+            close();
         }
+    }
+
+    private void close() {
         over = true;
         if (connection != null) {
             connection.close();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -47,7 +47,6 @@
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private int listings;
-    private boolean stopped;
 
     /** Hears what is in the collection. */
     public interface Listener {
@@ -109,19 +108,11 @@
         list();
     }
 
-    /** Makes no further call. */
-    public void stop() {
-        stopped = true;
-    }
-
     private boolean listed() {
         return revision >= 0;
     }
 
     private void list() {
-        if (stopped) {
-            return;
-        }
         listings++;
         boolean first = !listed();
         store.list(collection).onSuccess(result -> onListed(result, first));
@@ -136,7 +127,7 @@
 
     private void onListed(StoreResult result, boolean first) {
         listings--;
-        if (stopped || first && listed()) {
+        if (first && listed()) {
             return;
         }
         if (result instanceof StoreResult.Objects listing) {
@@ -150,15 +141,10 @@
     }
 
     private void watch() {
-        if (!stopped) {
-            store.watch(collection, revision, watchMillis.getAsLong()).onSuccess(this::onChanged);
-        }
+        store.watch(collection, revision, watchMillis.getAsLong()).onSuccess(this::onChanged);
     }
 
     private void onChanged(StoreResult result) {
-        if (stopped) {
-            return;
-        }
         if (result instanceof StoreResult.Objects changes) {
             answered();
             revision = Math.max(revision, changes.revision());
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/PeerExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/PeerExchangeTest.java
@@ -5,7 +5,6 @@
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.lagoonseam.core.audit.DecisionLog;
-import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
@@ -56,7 +55,13 @@
                 new NodeSettings.Bounds(8_000, 0.2, 10_000, 50),
                 new NodeSettings.Resources(280, 4_000));
         ForwardEnvironment environment = new ForwardEnvironment(
-                vertx, new CurrentSettings(settings), null, time, new Random(1), new Silent(), new MetricRegistry());
+                vertx,
+                new CurrentSettings(settings),
+                null,
+                time,
+                new Random(1),
+                DecisionLog.NOOP,
+                new MetricRegistry());
         UpstreamDirectory directory = new UpstreamDirectory();
         directory.changed(new UpstreamRecord("w1", 1, "llm", "10.1.0.1", 80, "dc-1", 64, false, 1));
         dispatcher = new ForwardDispatcher(environment, vertx.createHttpClient(new HttpClientOptions()), directory);
@@ -100,18 +105,6 @@
         }
     }
 
-    private static final class Silent implements DecisionLog {
-        @Override
-        public void record(EventCode code, String detail) {
-            // not looked at here
-        }
-
-        @Override
-        public void decided(EventCode code, String requestId, Object... fields) {
-            // not looked at here
-        }
-    }
-
     private final class Recorder implements PeerTransport {
         @Override
         public void register(int type, PeerHandler handler) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/ForwardMessages.java
@@ -1,5 +1,7 @@
 package io.lagoonseam.wire;
 
+import io.lagoonseam.core.forward.OutcomeCount;
+import io.lagoonseam.core.forward.WorkerLoad;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -26,22 +28,6 @@
      */
     public record Count(int inFlight, long pendingTokens) {}
 
-    /**
-     * What came of a node's latest attempts at one worker.
-     *
-     * @param outcomes attempts that ended
-     * @param failures those that speak against the worker
-     */
-    public record Outcomes(int outcomes, int failures) {}
-
-    /**
-     * What a worker told a node of its load.
-     *
-     * @param running requests of all nodes that have had their first token
-     * @param waiting those that have not
-     */
-    public record Load(int running, int waiting) {}
-
     /**
      * What a node tells of itself.
      *
@@ -57,8 +43,8 @@
             long upstreamRevision,
             Map<String, Count> counts,
             Map<String, List<Long>> parts,
-            Map<String, Outcomes> outcomes,
-            Map<String, Load> loads) {
+            Map<String, OutcomeCount> outcomes,
+            Map<String, WorkerLoad> loads) {
 
         /** Copies the maps. */
         public State {
@@ -75,7 +61,7 @@
          * @param newLoads requests of all nodes as workers told this node lately, by worker
          * @return the state with both
          */
-        public State with(Map<String, Outcomes> newOutcomes, Map<String, Load> newLoads) {
+        public State with(Map<String, OutcomeCount> newOutcomes, Map<String, WorkerLoad> newLoads) {
             return new State(configurationVersion, upstreamRevision, counts, parts, newOutcomes, newLoads);
         }
     }
@@ -166,13 +152,13 @@
                 }
             }
             packer.packMapHeader(state.outcomes().size());
-            for (Map.Entry<String, Outcomes> entry : state.outcomes().entrySet()) {
+            for (Map.Entry<String, OutcomeCount> entry : state.outcomes().entrySet()) {
                 packer.packString(entry.getKey())
                         .packInt(entry.getValue().outcomes())
                         .packInt(entry.getValue().failures());
             }
             packer.packMapHeader(state.loads().size());
-            for (Map.Entry<String, Load> entry : state.loads().entrySet()) {
+            for (Map.Entry<String, WorkerLoad> entry : state.loads().entrySet()) {
                 packer.packString(entry.getKey())
                         .packInt(entry.getValue().running())
                         .packInt(entry.getValue().waiting());
@@ -198,27 +184,27 @@
                 counts.put(id, new Count(unpacker.unpackInt(), unpacker.unpackLong()));
             }
             Map<String, List<Long>> parts = readParts(unpacker);
-            Map<String, Outcomes> outcomes = readOutcomes(unpacker);
+            Map<String, OutcomeCount> outcomes = readOutcomes(unpacker);
             return new State(configurationVersion, upstreamRevision, counts, parts, outcomes, readLoads(unpacker));
         });
     }
 
-    private static Map<String, Load> readLoads(MessageUnpacker unpacker) throws IOException {
+    private static Map<String, WorkerLoad> readLoads(MessageUnpacker unpacker) throws IOException {
         int size = unpacker.unpackMapHeader();
-        Map<String, Load> loads = new HashMap<>();
+        Map<String, WorkerLoad> loads = new HashMap<>();
         for (int index = 0; index < size; index++) {
             String worker = unpacker.unpackString();
-            loads.put(worker, new Load(unpacker.unpackInt(), unpacker.unpackInt()));
+            loads.put(worker, new WorkerLoad(unpacker.unpackInt(), unpacker.unpackInt()));
         }
         return loads;
     }
 
-    private static Map<String, Outcomes> readOutcomes(MessageUnpacker unpacker) throws IOException {
+    private static Map<String, OutcomeCount> readOutcomes(MessageUnpacker unpacker) throws IOException {
         int size = unpacker.unpackMapHeader();
-        Map<String, Outcomes> outcomes = new HashMap<>();
+        Map<String, OutcomeCount> outcomes = new HashMap<>();
         for (int index = 0; index < size; index++) {
             String worker = unpacker.unpackString();
-            outcomes.put(worker, new Outcomes(unpacker.unpackInt(), unpacker.unpackInt()));
+            outcomes.put(worker, new OutcomeCount(unpacker.unpackInt(), unpacker.unpackInt()));
         }
         return outcomes;
     }
--- a/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
+++ b/lagoonseam-wire/src/test/java/io/lagoonseam/wire/ForwardMessagesTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
+import io.lagoonseam.core.forward.OutcomeCount;
+import io.lagoonseam.core.forward.WorkerLoad;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +18,8 @@
             530,
             Map.of("w1", new ForwardMessages.Count(3, 17_000)),
             Map.of("w1", List.of(1L, -5L)),
-            Map.of("w1", new ForwardMessages.Outcomes(12, 5)),
-            Map.of("w2", new ForwardMessages.Load(31, 4)));
+            Map.of("w1", new OutcomeCount(12, 5)),
+            Map.of("w2", new WorkerLoad(31, 4)));
 
     @Test
     public void aStateIsReadAsItWasWritten() {
