--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -175,6 +175,15 @@
     /** The store sent a header that was ignored since it is malformed. */
     STORE_HEADER_MALFORMED(712, EventLevel.WARNING, "A header of the platform's store cannot be read and is ignored"),
 
+    /** This node became the home of a service: it places the requests of all nodes. */
+    HOME_BEGUN(713, EventLevel.INFO, "This node places the requests of a service"),
+    /** This node did not run for a while and has forgotten the requests that it had placed as a home. */
+    HOME_STALLED(714, EventLevel.WARNING, "This node did not run for a while; its homes begin anew"),
+    /** The home of a service did not answer in time; another one is asked, or this node decides by itself. */
+    HOME_SILENT(715, EventLevel.WARNING, "The home of a service does not answer"),
+    /** A home that was silent answers again. */
+    HOME_BACK(716, EventLevel.INFO, "A home answers again"),
+
     /** A run-time check found that an invariant does not hold. */
     INVARIANT_VIOLATED(901, EventLevel.ERROR, "An invariant does not hold");
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/CachedSegments.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/CachedSegments.java
@@ -1,7 +1,9 @@
 package io.lagoonseam.core.forward;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** The prefix segments that a worker is presumed to have cached, based on the requests of this node and its peers. */
 public final class CachedSegments {
@@ -20,10 +22,17 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-            return size() > MAX_SEGMENTS;
+            boolean evict = size() > MAX_SEGMENTS;
+            if (evict) {
+                read.remove(eldest.getKey());
+            }
+            return evict;
         }
     };
 
+    /** The segments of {@link #lastUsedMillis} that have been read, not only requested. */
+    private final Set<Long> read = new HashSet<>();
+
     private long allCachedUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -47,7 +56,29 @@
     }
 
     /**
-     * Returns whether a segment is presumed to be cached.
+     * Records that a segment has been read: a request with it has had its first event.
+     *
+     * @param prefixHash the prefix hash of a prompt
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordRead(long prefixHash, long nowMillis) {
+        recordUse(prefixHash, nowMillis);
+        read.add(prefixHash);
+    }
+
+    /**
+     * Returns whether a segment is presumed to be cached and has been read, so that other workers can copy it.
+     *
+     * @param prefixHash the prefix hash of a prompt
+     * @param nowMillis the current time, in milliseconds
+     * @return false if the worker is only known to have been sent a request with the segment
+     */
+    public boolean hasRead(long prefixHash, long nowMillis) {
+        return contains(prefixHash, nowMillis) && (nowMillis < allCachedUntilMillis || read.contains(prefixHash));
+    }
+
+    /**
+     * Returns whether a segment is presumed to be cached, or will be before a request that is sent now is read.
      *
      * @param prefixHash the prefix hash of a prompt
      * @param nowMillis the current time, in milliseconds
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -5,7 +5,7 @@
 /**
  * The properties of a request that determine the choice of its worker.
  *
- * @param prompt the segments of its prompt; empty for plain services
+ * @param prompt the shape of its prompt; without tokens for plain services
  * @param lane its lane; ignored for plain services
  * @param objectiveMillis its latency objective, in milliseconds
  * @param objectiveLeftMillis the remaining time of the objective, in milliseconds; 0 if it has passed
@@ -17,7 +17,7 @@
  * @param nowMillis the current time, in milliseconds
  */
 public record ChoiceRequest(
-        PromptSegments prompt,
+        PromptShape prompt,
         Lane lane,
         long objectiveMillis,
         long objectiveLeftMillis,
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FirstEventTimeEstimate.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/FirstEventTimeEstimate.java
@@ -77,6 +77,16 @@
         return FIXED_MILLIS + tokens / rate();
     }
 
+    /**
+     * Returns the expected time to read prompts.
+     *
+     * @param tokens the tokens to read
+     * @return the time, in milliseconds
+     */
+    public double readingMillis(double tokens) {
+        return tokens / rate();
+    }
+
     private double rate() {
         return observations >= MIN_OWN_OBSERVATIONS || serviceEstimate.isEmpty()
                 ? tokensPerMilli
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -38,23 +38,28 @@
 
     @Override
     public Optional<Choice> choose(ChoiceRequest request, Collection<UpstreamState> workers) {
-        List<UpstreamState> order = order(request, workers);
-        if (order.isEmpty()) {
+        List<UpstreamState> available = available(request, workers);
+        if (available.isEmpty()) {
             return Optional.empty();
         }
-        UpstreamState preferred = order.get(0);
-        UpstreamState home = home(request, workers);
+        Comparator<UpstreamState> byRank = byRank(request);
+        Prefix prefix = prefix(request, workers, Collections.min(workers, byRank));
+        UpstreamState preferred = Collections.min(available, byRank);
+        Choice first = choice(request, preferred, prefix);
+        if (inTime(request, expectedMillis(request, first))) {
+            return Optional.of(first);
+        }
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
-        for (UpstreamState worker : order) {
-            Choice choice = choice(request, worker, home, workers);
-            double millis = expectedMillis(request, choice);
-            if (worker.equals(preferred) && inTime(request, millis)) {
-                return Optional.of(choice);
+        for (UpstreamState worker : available) {
+            if (worker.lane() != request.lane() && request.lane() != Lane.SENSITIVE) {
+                continue;
             }
-            boolean ownLane = worker.lane() == request.lane();
-            boolean maySpillOver = ownLane || request.lane() == Lane.SENSITIVE;
-            if (maySpillOver && millis < bestMillis) {
+            Choice choice = choice(request, worker, prefix);
+            double millis = expectedMillis(request, choice);
+            boolean better = millis < bestMillis
+                    || millis == bestMillis && best != null && byRank.compare(worker, best.worker()) < 0;
+            if (better) {
                 best = choice;
                 bestMillis = millis;
             }
@@ -67,33 +72,48 @@
         return worker.inFlight(request.nowMillis()) == 0;
     }
 
-    /**
-     * Returns the workers that can take the request, ordered by rendezvous hashing, those of the request's lane first.
-     */
-    private static List<UpstreamState> order(ChoiceRequest request, Collection<UpstreamState> workers) {
-        List<UpstreamState> order = new ArrayList<>();
+    /** Returns the workers that can take the request. */
+    private static List<UpstreamState> available(ChoiceRequest request, Collection<UpstreamState> workers) {
+        List<UpstreamState> available = new ArrayList<>();
         for (UpstreamState worker : workers) {
             boolean full = worker.inFlight(request.nowMillis())
                     >= Math.max(1, worker.record().slots());
             if (!full
                     && !exceedsPromptKvShare(request, worker)
                     && !request.excludedWorkers().contains(worker.record().id())) {
-                order.add(worker);
+                available.add(worker);
             }
         }
-        order.sort(byRank(request));
-        return order;
-    }
-
-    /** Returns the home of the request's prefix: the first worker by rendezvous hashing, regardless of its load. */
-    private static UpstreamState home(ChoiceRequest request, Collection<UpstreamState> workers) {
-        return Collections.min(workers, byRank(request));
+        return available;
     }
 
+    /** Orders workers by rendezvous hashing, those of the request's lane first. */
     private static Comparator<UpstreamState> byRank(ChoiceRequest request) {
         long prefixHash = request.prompt().prefixHash();
-        return Comparator.comparing((UpstreamState worker) -> worker.lane() != request.lane())
-                .thenComparing(worker -> -Rendezvous.mix(prefixHash, worker.hash()));
+        return (left, right) -> {
+            boolean ownLane = left.lane() == request.lane();
+            if (ownLane != (right.lane() == request.lane())) {
+                return ownLane ? -1 : 1;
+            }
+            return Long.compare(Rendezvous.mix(prefixHash, right.hash()), Rendezvous.mix(prefixHash, left.hash()));
+        };
+    }
+
+    /**
+     * What is known of the request's prefix.
+     *
+     * @param home the first worker by rendezvous hashing, regardless of its load
+     * @param source a worker that has read the prefix, empty if none is known
+     */
+    private record Prefix(UpstreamState home, Optional<UpstreamState> source) {}
+
+    private static Prefix prefix(ChoiceRequest request, Collection<UpstreamState> workers, UpstreamState home) {
+        for (UpstreamState worker : workers) {
+            if (worker.cachedSegments().hasRead(request.prompt().prefixHash(), request.nowMillis())) {
+                return new Prefix(home, Optional.of(worker));
+            }
+        }
+        return new Prefix(home, Optional.empty());
     }
 
     /** Returns whether the prompt would evict cached prefix segments. An idle worker accepts a prompt of any size. */
@@ -121,29 +141,25 @@
 
     /**
      * Returns the choice of a worker together with the source from which it copies the prefix segments that it lacks.
-     * The source is a worker that is presumed to have them cached. If there is none, it is the home, which often has
-     * them cached without this node having been notified; the worker reads what the home lacks.
+     * The source is a worker that has read them: one that is still reading them has nothing to copy yet. If there is
+     * none, it is the home, which often has them cached without this node having been notified; the worker reads what
+     * the home lacks.
      */
-    private static Choice choice(
-            ChoiceRequest request, UpstreamState worker, UpstreamState home, Collection<UpstreamState> workers) {
+    private static Choice choice(ChoiceRequest request, UpstreamState worker, Prefix prefix) {
+        UpstreamState home = prefix.home();
         String reason = worker.equals(home) ? "home" : "spill";
         int sharedTokens = request.prompt().prefixTokens();
         long unsharedTokens = request.prompt().tokens() - sharedTokens;
-        if (sharedTokens == 0 || hasCached(worker, request)) {
+        boolean cached = worker.cachedSegments().contains(request.prompt().prefixHash(), request.nowMillis());
+        if (sharedTokens == 0 || cached) {
             return new Choice(worker, unsharedTokens, Optional.empty(), reason);
         }
-        for (UpstreamState other : workers) {
-            if (hasCached(other, request)) {
-                return new Choice(worker, unsharedTokens, Optional.of(other), reason + "-copy");
-            }
+        if (prefix.source().isPresent()) {
+            return new Choice(worker, unsharedTokens, prefix.source(), reason + "-copy");
         }
         boolean noSource = worker.equals(home)
                 || request.excludedWorkers().contains(home.record().id());
         Optional<UpstreamState> source = noSource ? Optional.empty() : Optional.of(home);
         return new Choice(worker, request.prompt().tokens(), source, reason + (source.isEmpty() ? "-cold" : "-ask"));
     }
-
-    private static boolean hasCached(UpstreamState worker, ChoiceRequest request) {
-        return worker.cachedSegments().contains(request.prompt().prefixHash(), request.nowMillis());
-    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PromptSegments.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PromptSegments.java
@@ -66,6 +66,15 @@
                 : tokens - segments.get(segments.size() - 1).tokens();
     }
 
+    /**
+     * Returns what the choice of a worker has to know of the prompt.
+     *
+     * @return the shape
+     */
+    public PromptShape shape() {
+        return new PromptShape(prefixHash, prefixTokens(), tokens);
+    }
+
     /**
      * Returns the prefix hash, which is the same for all requests with the same prefix.
      *
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
@@ -0,0 +1,197 @@
+package io.lagoonseam.core.forward;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The workers of one service as one node sees them, and the choice among them. Not thread-safe. */
+public final class ServiceWorkers {
+
+    private final Map<String, UpstreamState> workers = new LinkedHashMap<>();
+    private final UpstreamChooser engineChooser;
+    private final UpstreamChooser plainChooser;
+    private final FirstEventTimeEstimate firstEventTime = new FirstEventTimeEstimate();
+    private final PromptSizes promptSizes = new PromptSizes();
+    private long kvCapacityTokens;
+    private boolean modelEngine;
+    private int connectionsPerWorker = Integer.MAX_VALUE;
+
+    /**
+     * Creates a set without workers.
+     *
+     * @param engineChooser chooses among model engines
+     * @param plainChooser chooses among the workers of plain services
+     */
+    public ServiceWorkers(UpstreamChooser engineChooser, UpstreamChooser plainChooser) {
+        this.engineChooser = engineChooser;
+        this.plainChooser = plainChooser;
+    }
+
+    /**
+     * Sets whether the workers are model engines.
+     *
+     * @param value true for model engines, false for a plain service
+     */
+    public void modelEngine(boolean value) {
+        this.modelEngine = value;
+    }
+
+    /**
+     * Sets the KV-cache capacity of each worker.
+     *
+     * @param value the capacity in tokens; 0 disables the memory check
+     */
+    public void kvCapacityTokens(long value) {
+        this.kvCapacityTokens = value;
+    }
+
+    /**
+     * Sets the maximum number of requests that are sent to a worker at the same time.
+     *
+     * @param value the number of requests
+     */
+    public void connectionsPerWorker(int value) {
+        this.connectionsPerWorker = value;
+    }
+
+    /**
+     * Creates the state of a new worker.
+     *
+     * @param record its record
+     * @return the state, which is not added to the workers
+     */
+    public UpstreamState newState(UpstreamRecord record) {
+        return new UpstreamState(record, firstEventTime, promptSizes);
+    }
+
+    /**
+     * Records a prompt that is sent.
+     *
+     * @param lane its lane
+     * @param tokens its size, in tokens
+     * @param unreadTokens how much of it the worker still has to read (prefill), in tokens
+     */
+    public void observePrompt(Lane lane, long tokens, long unreadTokens) {
+        promptSizes.observe(lane, tokens, unreadTokens);
+    }
+
+    /**
+     * Returns the workers, including ejected ones.
+     *
+     * @return the live map of their states by id
+     */
+    public Map<String, UpstreamState> workers() {
+        return workers;
+    }
+
+    /**
+     * Records the outcome of an attempt.
+     *
+     * @param worker the worker
+     * @param outcome the outcome
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void observe(UpstreamState worker, OutlierDetector.Outcome outcome, long nowMillis) {
+        worker.recentOutcomes().observe(outcome != OutlierDetector.Outcome.ANSWERED, nowMillis);
+        OutcomeCount others = outcomes(nowMillis).minus(worker.outcomes(nowMillis));
+        worker.outlierDetector().observe(outcome, nowMillis, others);
+    }
+
+    /**
+     * Ejects the workers whose failure rate, counted over all nodes, is above that of the others.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the workers ejected by this call
+     */
+    public List<UpstreamState> ejectFailing(long nowMillis) {
+        OutcomeCount all = outcomes(nowMillis);
+        List<UpstreamState> failing = new ArrayList<>();
+        for (UpstreamState worker : workers.values()) {
+            OutcomeCount own = worker.outcomes(nowMillis);
+            if (FailureComparison.failsMoreOften(own, all.minus(own))
+                    && worker.outlierDetector().ejectOutlier(nowMillis)) {
+                failing.add(worker);
+            }
+        }
+        return failing;
+    }
+
+    private OutcomeCount outcomes(long nowMillis) {
+        OutcomeCount sum = OutcomeCount.NONE;
+        for (UpstreamState worker : workers.values()) {
+            sum = sum.plus(worker.outcomes(nowMillis));
+        }
+        return sum;
+    }
+
+    /**
+     * Chooses a worker for a request. Candidates are the workers that are not paused, below the connection limit, and
+     * either not ejected or due for a half-open probe; if there are none, all that are not paused. Workers already
+     * tried for the request are chosen only if no other can be.
+     *
+     * @param demand what the request asks
+     * @param nowMillis the current time, in milliseconds
+     * @return the choice, or empty if the request should wait
+     */
+    public Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, long nowMillis) {
+        Collection<UpstreamState> candidates = candidates(nowMillis);
+        Optional<UpstreamChooser.Choice> fresh = choose(demand, demand.triedWorkers(), candidates, nowMillis);
+        return fresh.isPresent() || demand.triedWorkers().isEmpty()
+                ? fresh
+                : choose(demand, Set.of(), candidates, nowMillis);
+    }
+
+    private Optional<UpstreamChooser.Choice> choose(
+            WorkerDemand demand, Set<String> excluded, Collection<UpstreamState> candidates, long nowMillis) {
+        UpstreamChooser chooser = modelEngine ? engineChooser : plainChooser;
+        return chooser.choose(demand.choiceRequest(kvCapacityTokens, excluded, nowMillis), candidates);
+    }
+
+    /** Returns the candidates. A paused worker is none, even if there is no other. */
+    private Collection<UpstreamState> candidates(long nowMillis) {
+        List<UpstreamState> eligible = new ArrayList<>();
+        List<UpstreamState> unpaused = new ArrayList<>();
+        for (UpstreamState worker : workers.values()) {
+            if (worker.pauseMillis(nowMillis) > 0) {
+                continue;
+            }
+            unpaused.add(worker);
+            if (worker.outlierDetector().acceptsRequests(nowMillis) && worker.ownInFlight() < connectionsPerWorker) {
+                eligible.add(worker);
+            }
+        }
+        return eligible.isEmpty() ? unpaused : eligible;
+    }
+
+    /**
+     * Returns the time until the first worker ends its pause.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the time in milliseconds; 0 if a worker is not paused, or if there is none
+     */
+    public long pauseMillis(long nowMillis) {
+        return workers.values().stream()
+                .mapToLong(worker -> worker.pauseMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
+    /**
+     * Returns the expected time in which the workers of a lane read the prompts that they already have.
+     *
+     * @param lane the lane
+     * @param nowMillis the current time, in milliseconds
+     * @return the mean over its workers, in milliseconds; 0 without workers
+     */
+    public double backlogMillis(Lane lane, long nowMillis) {
+        return workers.values().stream()
+                .filter(worker -> worker.lane() == lane)
+                .mapToDouble(worker -> worker.firstEventTime().readingMillis(worker.pendingTokens(nowMillis)))
+                .average()
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
@@ -0,0 +1,40 @@
+package io.lagoonseam.core.forward;
+
+import java.util.Set;
+
+/**
+ * What a request asks of a worker, wherever the worker is chosen.
+ *
+ * @param prompt the shape of its prompt; without tokens for plain services
+ * @param lane its lane; ignored for plain services
+ * @param objectiveMillis its latency objective, in milliseconds
+ * @param objectiveEndMillis when the time of the objective is over, on the monotonic clock of this node, in
+ *     milliseconds
+ * @param dataCentre the data centre of the node that forwards it
+ * @param triedWorkers the ids of the workers that it was sent to before, which are chosen only if no other can be
+ */
+public record WorkerDemand(
+        PromptShape prompt,
+        Lane lane,
+        long objectiveMillis,
+        long objectiveEndMillis,
+        String dataCentre,
+        Set<String> triedWorkers) {
+
+    /** Makes an immutable copy of the set. */
+    public WorkerDemand {
+        triedWorkers = Set.copyOf(triedWorkers);
+    }
+
+    ChoiceRequest choiceRequest(long kvCapacityTokens, Set<String> excludedWorkers, long nowMillis) {
+        return new ChoiceRequest(
+                prompt,
+                lane,
+                objectiveMillis,
+                Math.max(0, objectiveEndMillis - nowMillis),
+                dataCentre,
+                kvCapacityTokens,
+                excludedWorkers,
+                nowMillis);
+    }
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementDecision.java
@@ -0,0 +1,29 @@
+package io.lagoonseam.core.placement;
+
+/** What a home decides about a request. */
+public sealed interface PlacementDecision
+        permits PlacementDecision.Granted, PlacementDecision.Queued, PlacementDecision.Refused {
+
+    /**
+     * The request is to be sent to a worker now.
+     *
+     * @param workerId the id of the worker
+     * @param unreadTokens the prompt tokens that the worker is expected to have to read
+     * @param tokensAhead the unread prompt tokens of other requests at the worker
+     * @param copyFromId the id of the worker to copy prefix segments from, empty for none
+     * @param reason a keyword for the log
+     */
+    record Granted(String workerId, long unreadTokens, long tokensAhead, String copyFromId, String reason)
+            implements PlacementDecision {}
+
+    /** The request waits at the home until a later decision. */
+    record Queued() implements PlacementDecision {}
+
+    /**
+     * The request cannot begin in time.
+     *
+     * @param backlogMillis the expected time until the work before it is done, in milliseconds
+     * @param reason a keyword for the log
+     */
+    record Refused(long backlogMillis, String reason) implements PlacementDecision {}
+}
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -0,0 +1,344 @@
+package io.lagoonseam.core.placement;
+
+import io.lagoonseam.core.forward.Lane;
+import io.lagoonseam.core.forward.OutlierDetector;
+import io.lagoonseam.core.forward.RequestQueue;
+import io.lagoonseam.core.forward.ServiceWorkers;
+import io.lagoonseam.core.forward.UpstreamChooser;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.WorkerLoad;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Places the requests of all nodes on the workers of one service. It knows what each worker has in flight, which
+ * requests wait, which prompts are still unread, and which prefixes have been read. Answers a burst that hits hundreds
+ * of nodes at once: there is one queue, in order of priority, and a prefix is sent to a second worker only while the
+ * first one cannot serve it in time. Not thread-safe.
+ */
+public final class PlacementHome {
+
+    private final ServiceWorkers workers;
+    private final RequestQueue<PlacementRequest> queue = new RequestQueue<>();
+    private final Map<PlacementKey, PlacementRequest> queued = new HashMap<>();
+    private final Map<PlacementKey, Placement> placements = new HashMap<>();
+    private final Map<String, Set<PlacementKey>> keysByNode = new HashMap<>();
+    private final Map<String, String> lastSilentNode = new HashMap<>();
+    private double queuedTokens;
+    private boolean changed;
+
+    /** A request in flight. */
+    private static final class Placement {
+        private final UpstreamState worker;
+        private final long prefixHash;
+        private final boolean hasPrefix;
+        private final long promptTokens;
+        private final long tokensAhead;
+        private long unreadTokens;
+        private boolean read;
+
+        Placement(
+                UpstreamState worker,
+                long prefixHash,
+                boolean hasPrefix,
+                long promptTokens,
+                long tokensAhead,
+                long unreadTokens) {
+            this.worker = worker;
+            this.prefixHash = prefixHash;
+            this.hasPrefix = hasPrefix;
+            this.promptTokens = promptTokens;
+            this.tokensAhead = tokensAhead;
+            this.unreadTokens = unreadTokens;
+        }
+    }
+
+    /**
+     * A decision about a request that had been queued.
+     *
+     * @param key identifies the request
+     * @param decision the decision, which is never {@link PlacementDecision.Queued}
+     */
+    public record LateDecision(PlacementKey key, PlacementDecision decision) {}
+
+    /**
+     * Creates a home without requests.
+     *
+     * @param workers the workers of the service, which only this home places requests on through this object
+     */
+    public PlacementHome(ServiceWorkers workers) {
+        this.workers = workers;
+    }
+
+    /**
+     * Returns the workers, so that their records can be kept up to date.
+     *
+     * @return the workers
+     */
+    public ServiceWorkers workers() {
+        return workers;
+    }
+
+    /**
+     * Decides about a new request. The caller must have taken the decisions of {@link #dispatch} that are due,
+     * otherwise the request may be placed before more urgent ones.
+     *
+     * @param request the request
+     * @param nowMillis the current time, in milliseconds
+     * @return the decision
+     */
+    public PlacementDecision submit(PlacementRequest request, long nowMillis) {
+        Optional<PlacementDecision> granted = place(request, nowMillis);
+        if (granted.isPresent()) {
+            return granted.get();
+        }
+        if (request.latestStartMillis() <= nowMillis) {
+            return refusal(request, nowMillis);
+        }
+        queue.add(request, request.priority(), request.latestStartMillis());
+        queued.put(request.key(), request);
+        queuedTokens += unsharedTokens(request);
+        remember(request.key());
+        return new PlacementDecision.Queued();
+    }
+
+    /** Returns whether queued requests should be dispatched, since the state of a worker has changed. */
+    public boolean dispatchDue() {
+        return changed && !queued.isEmpty();
+    }
+
+    /**
+     * Places queued requests, in order, and refuses those that can no longer start in time.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the decisions
+     */
+    public List<LateDecision> dispatch(long nowMillis) {
+        changed = false;
+        List<LateDecision> decisions = new ArrayList<>();
+        queue.dispatch(request -> {
+            Optional<PlacementDecision> granted = place(request, nowMillis);
+            granted.ifPresent(decision -> {
+                dequeue(request);
+                decisions.add(new LateDecision(request.key(), decision));
+            });
+            return granted.isPresent();
+        });
+        for (PlacementRequest expired : queue.expire(nowMillis)) {
+            dequeue(expired);
+            forget(expired.key());
+            decisions.add(new LateDecision(expired.key(), refusal(expired, nowMillis)));
+        }
+        return decisions;
+    }
+
+    private void dequeue(PlacementRequest request) {
+        queued.remove(request.key());
+        queuedTokens -= unsharedTokens(request);
+    }
+
+    private static int unsharedTokens(PlacementRequest request) {
+        return request.demand().prompt().tokens() - request.demand().prompt().prefixTokens();
+    }
+
+    private PlacementDecision refusal(PlacementRequest request, long nowMillis) {
+        Lane lane = request.demand().lane();
+        double queuedMillis = workers.workers().values().stream()
+                .mapToDouble(worker -> worker.firstEventTime().readingMillis(queuedTokens))
+                .average()
+                .orElse(0);
+        double backlogMillis = workers.backlogMillis(lane, nowMillis)
+                + queuedMillis / Math.max(1, workers.workers().size());
+        return new PlacementDecision.Refused(Math.round(backlogMillis), "no place within the longest wait");
+    }
+
+    private Optional<PlacementDecision> place(PlacementRequest request, long nowMillis) {
+        Optional<UpstreamChooser.Choice> choice = workers.choose(request.demand(), nowMillis);
+        if (choice.isEmpty()) {
+            return Optional.empty();
+        }
+        UpstreamState worker = choice.get().worker();
+        long tokensAhead = worker.pendingTokens(nowMillis);
+        var prompt = request.demand().prompt();
+        workers.observePrompt(
+                request.demand().lane(), prompt.tokens(), choice.get().unreadTokens());
+        begin(
+                request.key(),
+                new Placement(
+                        worker,
+                        prompt.prefixHash(),
+                        prompt.prefixTokens() > 0,
+                        prompt.tokens(),
+                        tokensAhead,
+                        choice.get().unreadTokens()),
+                nowMillis);
+        return Optional.of(new PlacementDecision.Granted(
+                worker.record().id(),
+                choice.get().unreadTokens(),
+                tokensAhead,
+                choice.get().copyFrom().map(from -> from.record().id()).orElse(""),
+                choice.get().reason()));
+    }
+
+    private void begin(PlacementKey key, Placement placement, long nowMillis) {
+        placement.worker.started(placement.unreadTokens, placement.promptTokens);
+        if (placement.hasPrefix) {
+            placement.worker.cachedSegments().recordUse(placement.prefixHash, nowMillis);
+        }
+        placements.put(key, placement);
+        remember(key);
+    }
+
+    /**
+     * Records a request that a node has placed without this home: by its own decision, or through an earlier home.
+     *
+     * @param key identifies the request
+     * @param workerId the id of its worker; the request is ignored if the worker is unknown
+     * @param prefixHash its prefix hash
+     * @param promptTokens the tokens of its prompt
+     * @param unreadTokens the prompt tokens that the worker still has to read for it
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordPlaced(
+            PlacementKey key, String workerId, long prefixHash, long promptTokens, long unreadTokens, long nowMillis) {
+        UpstreamState worker = workers.workers().get(workerId);
+        if (worker != null && !placements.containsKey(key)) {
+            begin(key, new Placement(worker, prefixHash, prefixHash != 0, promptTokens, 0, unreadTokens), nowMillis);
+        }
+    }
+
+    /**
+     * Records the first event of a request: its prompt has been read.
+     *
+     * @param key identifies the request; unknown ones are ignored
+     * @param afterMillis the time from sending the request to the event, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordFirstEvent(PlacementKey key, long afterMillis, long nowMillis) {
+        Placement placement = placements.get(key);
+        if (placement == null || placement.read) {
+            return;
+        }
+        placement.read = true;
+        placement.worker.firstEventTime().observe(placement.tokensAhead + placement.unreadTokens, afterMillis);
+        if (placement.hasPrefix) {
+            placement.worker.cachedSegments().recordRead(placement.prefixHash, nowMillis);
+        }
+        placement.worker.promptRead(placement.unreadTokens);
+        placement.unreadTokens = 0;
+        changed = true;
+    }
+
+    /**
+     * Records that a request no longer needs a place: it has ended, was not sent, or no longer waits.
+     *
+     * @param key identifies the request; unknown ones are ignored
+     */
+    public void recordEnd(PlacementKey key) {
+        PlacementRequest waiting = queued.get(key);
+        if (waiting != null) {
+            queue.remove(waiting);
+            dequeue(waiting);
+        }
+        Placement placement = placements.remove(key);
+        if (placement != null) {
+            placement.worker.promptRead(placement.unreadTokens);
+            placement.worker.ended(placement.promptTokens);
+            changed = true;
+        }
+        forget(key);
+    }
+
+    /**
+     * Records the outcome of an attempt at a worker. A node whose own links are broken finds many workers silent, so a
+     * worker counts as silent only if two nodes in a row say so, and as failing otherwise.
+     *
+     * @param workerId the id of the worker; unknown ones are ignored
+     * @param node the id of the node that made the attempt
+     * @param outcome the outcome
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordOutcome(String workerId, String node, OutlierDetector.Outcome outcome, long nowMillis) {
+        UpstreamState worker = workers.workers().get(workerId);
+        if (worker == null) {
+            return;
+        }
+        OutlierDetector.Outcome counted = outcome;
+        if (outcome == OutlierDetector.Outcome.SILENT) {
+            String before = lastSilentNode.put(workerId, node);
+            counted = before == null || before.equals(node) ? OutlierDetector.Outcome.FAILED : outcome;
+        } else {
+            lastSilentNode.remove(workerId);
+        }
+        workers.observe(worker, counted, nowMillis);
+        changed = true;
+    }
+
+    /**
+     * Records the load that a worker reported in an answer.
+     *
+     * @param workerId the id of the worker; unknown ones are ignored
+     * @param load its load
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordLoad(String workerId, WorkerLoad load, long nowMillis) {
+        UpstreamState worker = workers.workers().get(workerId);
+        if (worker != null) {
+            worker.recordDirectLoad(load, nowMillis);
+        }
+    }
+
+    /**
+     * Forgets the requests of a node except those that it still has.
+     *
+     * @param node the id of the node
+     * @param numbers the numbers of its requests in flight or waiting
+     */
+    public void retain(String node, Set<Long> numbers) {
+        for (PlacementKey key : Set.copyOf(keysByNode.getOrDefault(node, Set.of()))) {
+            if (!numbers.contains(key.number())) {
+                recordEnd(key);
+            }
+        }
+    }
+
+    /** Records that the workers have changed, so that queued requests may find a place. */
+    public void workersChanged() {
+        changed = true;
+    }
+
+    /**
+     * Forgets the requests of a node that has ended or no longer responds.
+     *
+     * @param node the id of the node
+     */
+    public void dropNode(String node) {
+        Set.copyOf(keysByNode.getOrDefault(node, Set.of())).forEach(this::recordEnd);
+    }
+
+    private void remember(PlacementKey key) {
+        keysByNode.computeIfAbsent(key.node(), node -> new HashSet<>()).add(key);
+    }
+
+    private void forget(PlacementKey key) {
+        Set<PlacementKey> keys = keysByNode.get(key.node());
+        if (keys != null && keys.remove(key) && keys.isEmpty()) {
+            keysByNode.remove(key.node());
+        }
+    }
+
+    /** Returns the number of requests that wait. */
+    public int queuedRequests() {
+        return queued.size();
+    }
+
+    /** Returns the number of requests in flight. */
+    public int placedRequests() {
+        return placements.size();
+    }
+}
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -34,7 +34,7 @@
     private static ChoiceRequest request(String prefix, int shared, int own, Lane lane, long objectiveMillis) {
         PromptSegments prompt = new PromptSegments(
                 List.of(new PromptSegments.Segment(prefix, shared), new PromptSegments.Segment("own", own)));
-        return new ChoiceRequest(prompt, lane, objectiveMillis, objectiveMillis, "a", 0, Set.of(), 0);
+        return new ChoiceRequest(prompt.shape(), lane, objectiveMillis, objectiveMillis, "a", 0, Set.of(), 0);
     }
 
     @Test
@@ -170,7 +170,7 @@
                 .filter(worker -> !worker.equals(home))
                 .findFirst()
                 .orElseThrow();
-        former.cachedSegments().recordUse(request.prompt().prefixHash(), 0);
+        former.cachedSegments().recordRead(request.prompt().prefixHash(), 0);
         UpstreamChooser.Choice choice =
                 new PrefixChooser().choose(request, workers).orElseThrow();
         assertEquals(choice.worker(), home);
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -133,7 +133,7 @@
                 Optional<UpstreamChooser.Choice> choice = new PrefixChooser()
                         .choose(
                                 new ChoiceRequest(
-                                        request.prompt,
+                                        request.prompt.shape(),
                                         Lane.TOLERANT,
                                         OBJECTIVE_MILLIS,
                                         leftMillis,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -8,14 +8,19 @@
 import io.lagoonseam.core.forward.OutcomeCount;
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.PrefixChooser;
+import io.lagoonseam.core.forward.RequestQueue;
 import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.ServiceRetryBudget;
+import io.lagoonseam.core.forward.ServiceWorkers;
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.hash.Rendezvous;
+import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.time.TimeSource;
+import io.lagoonseam.entry.placement.Placement;
+import io.lagoonseam.entry.placement.PlacementClient;
 import io.vertx.core.http.HttpClientAgent;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -56,6 +61,7 @@
     private final UpstreamChooser engineChooser = new PrefixChooser();
     private final UpstreamChooser plainChooser;
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
+    private PlacementClient placement;
     private RoutingConfiguration configuration;
     private int nodeCount = 1;
 
@@ -69,6 +75,26 @@
                 new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
     }
 
+    /** Sets the client that asks homes for workers. */
+    void placement(PlacementClient value) {
+        this.placement = value;
+    }
+
+    /** Applies the configuration in force to the workers of a service that this node places requests on as a home. */
+    void configureHome(String service, ServiceWorkers workers) {
+        if (configuration != null) {
+            configuration.service(service).ifPresent(found -> {
+                workers.modelEngine(found.modelEngine());
+                workers.kvCapacityTokens(found.kvCapacityTokens());
+            });
+        }
+    }
+
+    /** Creates a set of workers that is empty. */
+    ServiceWorkers newWorkers() {
+        return new ServiceWorkers(engineChooser, plainChooser);
+    }
+
     /** Applies a configuration. */
     void configure(RoutingConfiguration value) {
         this.configuration = value;
@@ -103,12 +129,13 @@
     private void configure(String name, ServiceQueue queue) {
         Optional<ForwardService> service = configuration == null ? Optional.empty() : configuration.service(name);
         service.ifPresent(found -> {
-            queue.modelEngine(found.modelEngine());
+            ServiceWorkers workers = queue.workers();
+            workers.modelEngine(found.modelEngine());
             // If each broadcast reaches all nodes, their in-flight counts arrive in time, and unread prompt tokens
             // predict load better than the KV-cache memory in use. A capacity of 0 disables the memory check.
             boolean countsArrive = nodeCount <= ForwardStateExchange.FAN_OUT + 1;
-            queue.kvCapacityTokens(countsArrive ? 0 : found.kvCapacityTokens());
-            queue.connectionsPerWorker(
+            workers.kvCapacityTokens(countsArrive ? 0 : found.kvCapacityTokens());
+            workers.connectionsPerWorker(
                     Math.max(1, (int) (USABLE_CONNECTION_SHARE * found.maxConnections() / Math.max(1, nodeCount))));
         });
     }
@@ -117,8 +144,8 @@
         return queues.computeIfAbsent(service, name -> {
             NodeSettings.Bounds bounds = environment.settings().bounds();
             ServiceQueue queue = new ServiceQueue(
-                    engineChooser,
-                    plainChooser,
+                    newWorkers(),
+                    new RequestQueue<>(),
                     new ServiceRetryBudget(bounds.retryRatio(), bounds.retryWindowMillis(), bounds.retrySlack()));
             configure(name, queue);
             return queue;
@@ -138,21 +165,21 @@
             addOrUpdate(record, assumedUntilMillis);
         }
         for (ServiceQueue queue : queues.values()) {
-            queue.workers().keySet().removeIf(id -> {
+            queue.workers().workers().keySet().removeIf(id -> {
                 boolean gone = !serving.contains(id);
                 if (gone) {
                     removeWorker(id);
                 }
                 return gone;
             });
-            LatencyLanes.assignWorkers(queue.workers().values());
+            LatencyLanes.assignWorkers(queue.workers().workers().values());
         }
         dispatchQueued();
     }
 
     private void addOrUpdate(UpstreamRecord record, long assumedUntilMillis) {
-        ServiceQueue queue = queue(record.service());
-        Map<String, UpstreamState> workers = queue.workers();
+        ServiceWorkers service = queue(record.service()).workers();
+        Map<String, UpstreamState> workers = service.workers();
         UpstreamState known = workers.get(record.id());
         if (known != null && known.record().sameIncarnation(record)) {
             known.record(record);
@@ -172,7 +199,7 @@
                 record.dataCentre(),
                 "revision",
                 record.revision());
-        UpstreamState state = queue.newState(record);
+        UpstreamState state = service.newState(record);
         state.cachedSegments().presumeAllCached(assumedUntilMillis);
         workers.put(record.id(), state);
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
@@ -224,9 +251,14 @@
         return directory.leavingSince(time.monotonicMillis() - LEAVING_REPORT_MILLIS);
     }
 
+    /** Returns the remaining pause of a worker at a time, in milliseconds; 0 if it is unknown. */
+    long workerPauseMillis(String id, long nowMillis) {
+        return worker(id).map(found -> found.pauseMillis(nowMillis)).orElse(0L);
+    }
+
     /** Returns the time until a worker of a service takes new requests again, in milliseconds; 0 if one does. */
     long pauseMillis(String service) {
-        return queue(service).pauseMillis(time.monotonicMillis());
+        return queue(service).workers().pauseMillis(time.monotonicMillis());
     }
 
     private void removeWorker(String id) {
@@ -248,31 +280,59 @@
     }
 
     /**
-     * Sends a request to a worker, or queues it until a slot becomes free or the queue deadline passes.
+     * Has the home of the service place a request or, if there is none, places it by this node's own decision. The
+     * request is queued until it can be placed or the queue deadline passes.
      *
      * @param request the request
      * @param queueDeadlineMillis the time at which the request expires in the queue, on the monotonic clock, in
      *     milliseconds
      */
     void submit(ForwardedRequest request, long queueDeadlineMillis) {
+        long waitMillis = queueDeadlineMillis - time.monotonicMillis();
+        if (placement == null || !placement.place(request, waitMillis)) {
+            submitLocally(request, queueDeadlineMillis);
+        }
+    }
+
+    /** Places or queues a request by this node's own decision; the parameters are those of {@link #submit}. */
+    void submitLocally(ForwardedRequest request, long queueDeadlineMillis) {
         ServiceQueue queue = queue(request.service());
         queue.queuedRequests().add(request, request.priority(), queueDeadlineMillis);
-        if (queue.hasWorkers()) {
+        if (!queue.workers().workers().isEmpty()) {
             queue.queuedRequests().dispatch(queued -> dispatch(queue, queued));
         }
     }
 
     private boolean dispatch(ServiceQueue queue, ForwardedRequest request) {
         long nowMillis = time.monotonicMillis();
-        Optional<UpstreamChooser.Choice> choice =
-                queue.choose(request, environment.settings().dataCentre(), nowMillis);
+        Optional<UpstreamChooser.Choice> choice = queue.workers().choose(request.demand(), nowMillis);
         choice.ifPresent(found -> {
-            queue.observePrompt(request.lane(), request.prompt().tokens(), found.unreadTokens());
-            request.send(found);
+            queue.workers().observePrompt(request.lane(), request.prompt().tokens(), found.unreadTokens());
+            request.send(
+                    found,
+                    found.worker().pendingTokens(nowMillis),
+                    placement == null
+                            ? Placement.NONE
+                            : placement.recordOwnDecision(
+                                    request.service(),
+                                    found.worker().record().id(),
+                                    request.prompt().shape(),
+                                    found.unreadTokens()));
         });
         return choice.isPresent();
     }
 
+    /**
+     * Returns the choice that a home has made, in terms of this node's view of the workers; empty if this node does not
+     * know the worker, or knows that it is leaving or paused.
+     */
+    Optional<UpstreamChooser.Choice> choice(PlacementDecision.Granted granted) {
+        return worker(granted.workerId())
+                .filter(worker -> worker.pauseMillis(time.monotonicMillis()) == 0)
+                .map(worker -> new UpstreamChooser.Choice(
+                        worker, granted.unreadTokens(), worker(granted.copyFromId()), granted.reason()));
+    }
+
     /**
      * Records that a worker has cached a prefix segment, to be reported to other nodes.
      *
@@ -298,7 +358,7 @@
 
     /** Records the outcome of an attempt at a worker. */
     void observe(UpstreamState worker, OutlierDetector.Outcome outcome) {
-        queue(worker.record().service()).observe(worker, outcome, time.monotonicMillis());
+        queue(worker.record().service()).workers().observe(worker, outcome, time.monotonicMillis());
     }
 
     /**
@@ -307,22 +367,24 @@
      */
     void ejectFailing() {
         long nowMillis = time.monotonicMillis();
-        queues.forEach((service, queue) -> queue.ejectFailing(nowMillis).forEach(worker -> {
-            OutcomeCount counted = worker.outcomes(nowMillis);
-            log.recordDecision(
-                    EventCode.UPSTREAM_SET_ASIDE,
-                    "",
-                    "worker",
-                    worker.record().id(),
-                    "service",
-                    service,
-                    "outcome",
-                    "failing at all nodes",
-                    "outcomes",
-                    counted.outcomes(),
-                    "failures",
-                    counted.failures());
-        }));
+        queues.forEach((service, queue) -> queue.workers()
+                .ejectFailing(nowMillis)
+                .forEach(worker -> {
+                    OutcomeCount counted = worker.outcomes(nowMillis);
+                    log.recordDecision(
+                            EventCode.UPSTREAM_SET_ASIDE,
+                            "",
+                            "worker",
+                            worker.record().id(),
+                            "service",
+                            service,
+                            "outcome",
+                            "failing at all nodes",
+                            "outcomes",
+                            counted.outcomes(),
+                            "failures",
+                            counted.failures());
+                }));
     }
 
     /**
@@ -336,6 +398,9 @@
 
     /** Removes a queued request. */
     void withdraw(ForwardedRequest request) {
+        if (placement != null) {
+            placement.withdraw(request);
+        }
         queue(request.service()).queuedRequests().remove(request);
     }
 
@@ -359,7 +424,7 @@
     /** Returns the state of a serving worker, which may be ejected; empty if the worker is unknown or leaving. */
     Optional<UpstreamState> worker(String id) {
         for (ServiceQueue queue : queues.values()) {
-            UpstreamState state = queue.workers().get(id);
+            UpstreamState state = queue.workers().workers().get(id);
             if (state != null) {
                 return Optional.of(state);
             }
@@ -370,7 +435,7 @@
     /** Returns the states of all serving workers, including ejected ones. */
     List<UpstreamState> workers() {
         List<UpstreamState> all = new ArrayList<>();
-        queues.values().forEach(queue -> all.addAll(queue.workers().values()));
+        queues.values().forEach(queue -> all.addAll(queue.workers().workers().values()));
         return all;
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -6,10 +6,15 @@
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.entry.peer.PeerTransportOptions;
 import io.lagoonseam.entry.peer.VertxPeerTransport;
+import io.lagoonseam.entry.placement.HomeChannel;
+import io.lagoonseam.entry.placement.HomeServer;
+import io.lagoonseam.entry.placement.PlacementClient;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.store.CollectionFollower;
 import io.lagoonseam.entry.store.CollectionStore;
 import io.lagoonseam.entry.store.WatchPolicy;
+import io.lagoonseam.wire.MessageTypes;
+import io.lagoonseam.wire.PlacementMessages;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -18,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
 /**
@@ -55,6 +61,8 @@
     private final OperationsServer operations;
     private final NodeDirectory nodes;
     private final ForwardStateExchange exchange;
+    private final HomeServer homes;
+    private final PlacementClient placement;
     private final VertxPeerTransport transport;
     private final List<CollectionFollower> followers;
     private final List<Long> timers = new ArrayList<>();
@@ -87,8 +95,7 @@
                         .setTcpNoDelay(true)
                         .setDecompressionSupported(false)),
                 directory);
-        this.storeReplica =
-                new StoreReplica(environment, decoder, directory, dispatcher::configure, dispatcher::refresh);
+        this.storeReplica = new StoreReplica(environment, decoder, directory, dispatcher::configure, this::onUpstreams);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
         metrics.gauge("requests.in_flight", front::inFlight);
         metrics.gauge("nodes.alive", dispatcher::nodeCount);
@@ -104,6 +111,39 @@
                 environment.time(),
                 registry,
                 environment.events()));
+        this.homes = new HomeServer(
+                new HomeServer.Environment(
+                        vertx,
+                        environment.time(),
+                        environment.random(),
+                        environment.events(),
+                        transport,
+                        nodes.ownId()),
+                dispatcher::newWorkers,
+                dispatcher::configureHome,
+                directory::serving,
+                dispatcher::workerPauseMillis);
+        this.placement = new PlacementClient(
+                new HomeChannel(
+                        transport,
+                        homes,
+                        nodes.ownId(),
+                        task -> vertx.runOnContext(nothing -> task.run()),
+                        environment.time()),
+                environment.events(),
+                environment.settings().dataCentre(),
+                nodes::capacities);
+        homes.ownDecisions(placement::onLateDecisions);
+        transport.register(MessageTypes.PLACEMENT_DECISIONS, (sender, payload) -> {
+            placement.onLateDecisions(sender, PlacementMessages.Decisions.decode(payload));
+            return CompletableFuture.completedFuture(new byte[0]);
+        });
+        dispatcher.placement(placement);
+        metrics.gauge("homes.served", homes::homes);
+        metrics.gauge("homes.requests_waiting", homes::queuedRequests);
+        metrics.gauge("homes.requests_placed", homes::placedRequests);
+        metrics.gauge("placement.requests_waiting", placement::waitingRequests);
+        metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
         this.followers = List.of(
                 follower(
@@ -153,7 +193,7 @@
                         ? operations.listen(metricsAddress.get()).mapEmpty()
                         : Future.<Void>succeededFuture())
                 .onSuccess(nothing -> {
-                    timers.add(vertx.setPeriodic(DISPATCH_INTERVAL_MILLIS, timer -> dispatcher.dispatchQueued()));
+                    timers.add(vertx.setPeriodic(DISPATCH_INTERVAL_MILLIS, timer -> onDispatch()));
                     timers.add(vertx.setPeriodic(EXCHANGE_INTERVAL_MILLIS, timer -> onExchange()));
                     timers.add(vertx.setPeriodic(CLEANUP_INTERVAL_MILLIS, timer -> onCleanup()));
                     environment
@@ -165,7 +205,20 @@
                 .mapEmpty();
     }
 
+    private void onUpstreams() {
+        dispatcher.refresh();
+        homes.refresh();
+    }
+
+    private void onDispatch() {
+        homes.tick();
+        placement.tick();
+        dispatcher.dispatchQueued();
+    }
+
     private void onExchange() {
+        homes.refresh();
+        placement.probe();
         nodes.checkNodes();
         exchange.broadcast();
         dispatcher.ejectFailing();
@@ -198,6 +251,7 @@
                 environment.settings().bounds().stopMillis());
         front.beginStop(policy);
         nodes.deregister();
+        homes.stop();
         environment.vertx().setTimer(BALANCER_GRACE_MILLIS, timer -> {
             front.closeIdleConnections();
             environment.vertx().setPeriodic(STOP_POLL_MILLIS, pollTimer -> {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
@@ -110,7 +110,8 @@
             return;
         }
         broadcasts++;
-        Map<String, OutcomeCount> outcomes = broadcasts % OUTCOME_INTERVAL == 0 ? recentOutcomes() : Map.of();
+        boolean outcomesDue = broadcasts % OUTCOME_INTERVAL == 0 && !nodes.homesPlace();
+        Map<String, OutcomeCount> outcomes = outcomesDue ? recentOutcomes() : Map.of();
         byte[] payload = ForwardMessages.encode(state.withOutcomesAndLoads(outcomes, recentLoads(peers)));
         dispatcher.clearNewlyCachedSegments();
         int count = Math.min(FAN_OUT, peers.size());
@@ -160,7 +161,7 @@
      */
     private Map<String, WorkerLoad> recentLoads(List<String> peers) {
         Map<String, WorkerLoad> loads = new HashMap<>();
-        if (peers.size() <= FAN_OUT) {
+        if (peers.size() <= FAN_OUT || nodes.homesPlace()) {
             return loads;
         }
         long nowMillis = environment.time().monotonicMillis();
@@ -175,6 +176,11 @@
 
     /** Returns the state for this round and records which workers it reports as busy; must be called once per round. */
     private ForwardMessages.State state() {
+        if (nodes.homesPlace()) {
+            // the homes know what is in flight and which prefixes are cached
+            dispatcher.clearNewlyCachedSegments();
+            return state(Map.of(), Map.of());
+        }
         Map<String, InFlightCount> counts = new HashMap<>();
         Set<String> reported = new HashSet<>();
         for (UpstreamState worker : dispatcher.workers()) {
@@ -224,7 +230,7 @@
         forEachWorker(
                 state.prefixSegments(),
                 (worker, segments) ->
-                        segments.forEach(segment -> worker.cachedSegments().recordUse(segment, nowMillis)));
+                        segments.forEach(segment -> worker.cachedSegments().recordRead(segment, nowMillis)));
         forEachWorker(state.outcomes(), (worker, outcomes) -> worker.recordPeerOutcomes(sender, outcomes, nowMillis));
         forEachWorker(state.loads(), (worker, load) -> worker.recordForwardedLoad(load, nowMillis));
         applyAnnouncements(state);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -11,6 +11,10 @@
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.forward.WorkKind;
+import io.lagoonseam.core.forward.WorkerDemand;
+import io.lagoonseam.core.placement.PlacementDecision;
+import io.lagoonseam.entry.placement.PlacedRequest;
+import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -24,7 +28,7 @@
  * sends it to a worker, retries it where that is allowed, and forwards the response. A refusal or failure is sent as
  * soon as no further attempt is possible, not only at the deadline.
  */
-final class ForwardedRequest implements UpstreamAttempt.Listener {
+final class ForwardedRequest implements UpstreamAttempt.Listener, PlacedRequest {
 
     /** Largest response body that is buffered before it is forwarded, in bytes. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
@@ -74,6 +78,8 @@
     private String lastEventId;
     private UpstreamAttempt attempt;
     private UpstreamState worker;
+    private Placement placement = Placement.NONE;
+    private long queueDeadlineMillis;
     private long unreadTokens;
     private long tokensAhead;
     private long sentMillis;
@@ -134,11 +140,13 @@
                 + (callerTimeoutMillis > 0 ? Math.min(callerTimeoutMillis, timeoutMillis) : timeoutMillis);
     }
 
-    String service() {
+    @Override
+    public String service() {
         return admitted.service();
     }
 
-    int priority() {
+    @Override
+    public int priority() {
         return admitted.priority();
     }
 
@@ -150,22 +158,21 @@
         return admitted.lane();
     }
 
-    long objectiveMillis() {
-        return admitted.route().objectiveMillis();
-    }
-
-    Set<String> triedWorkers() {
-        return triedWorkers;
+    @Override
+    public WorkerDemand demand() {
+        return new WorkerDemand(
+                prompt().shape(),
+                lane(),
+                admitted.route().objectiveMillis(),
+                arrivedMillis + admitted.route().objectiveMillis(),
+                environment.settings().dataCentre(),
+                triedWorkers);
     }
 
     private WorkKind kind() {
         return admitted.route().kind();
     }
 
-    long remainingObjectiveMillis(long nowMillis) {
-        return Math.max(0, arrivedMillis + admitted.route().objectiveMillis() - nowMillis);
-    }
-
     private long nowMillis() {
         return environment.time().monotonicMillis();
     }
@@ -189,19 +196,48 @@
         queued = true;
         double share = dispatcher.workers().isEmpty() ? NO_WORKER_WAIT_SHARE : SLOT_WAIT_SHARE;
         long waitMillis = Math.round(share * admitted.route().objectiveMillis());
-        dispatcher.submit(this, Math.min(deadlineMillis, nowMillis() + waitMillis));
+        queueDeadlineMillis = Math.min(deadlineMillis, nowMillis() + waitMillis);
+        dispatcher.submit(this, queueDeadlineMillis);
         if (queued) {
             log.queued(waitMillis);
         }
     }
 
-    /** Sends the request to the chosen worker. */
-    void send(UpstreamChooser.Choice choice) {
+    @Override
+    public void onGranted(PlacementDecision.Granted granted, Placement granting) {
+        Optional<UpstreamChooser.Choice> choice = dispatcher.choice(granted);
+        if (choice.isEmpty()) {
+            granting.ended();
+            dispatcher.submitLocally(this, queueDeadlineMillis);
+        } else {
+            send(choice.get(), granted.tokensAhead(), granting);
+        }
+    }
+
+    @Override
+    public void onRefused(PlacementDecision.Refused refused) {
+        endUnplaced(refused.reason(), refused.backlogMillis());
+    }
+
+    @Override
+    public void onUndecided() {
+        dispatcher.submitLocally(this, queueDeadlineMillis);
+    }
+
+    /**
+     * Sends the request to the chosen worker.
+     *
+     * @param choice the choice
+     * @param tokensBefore the unread prompt tokens of other requests at the worker
+     * @param granting receives what becomes of the request
+     */
+    void send(UpstreamChooser.Choice choice, long tokensBefore, Placement granting) {
         queued = false;
+        placement = granting;
         worker = choice.worker();
         Optional<WorkerConnections> connections =
                 dispatcher.connections(worker.record().id());
-        tokensAhead = worker.pendingTokens(nowMillis());
+        tokensAhead = tokensBefore;
         unreadTokens = choice.unreadTokens();
         worker.started(unreadTokens, prompt().tokens());
         if (prompt().prefixTokens() > 0) {
@@ -282,7 +318,10 @@
     public void onHeaders(UpstreamResponseHeaders received, MultiMap headers) {
         answer = received;
         answerHeaders = headers;
-        received.load().ifPresent(load -> worker.recordDirectLoad(load, nowMillis()));
+        received.load().ifPresent(load -> {
+            worker.recordDirectLoad(load, nowMillis());
+            placement.load(load);
+        });
         dispatcher.onAnnouncement(worker, received);
     }
 
@@ -328,7 +367,9 @@
 
     private void observeFirstEvent() {
         worker.firstEventTime().observe(tokensAhead + unreadTokens, nowMillis() - sentMillis);
+        placement.firstEvent(nowMillis() - sentMillis);
         if (prompt().prefixTokens() > 0) {
+            worker.cachedSegments().recordRead(prompt().prefixHash(), nowMillis());
             dispatcher.recordCachedSegment(worker.record().id(), prompt().prefixHash());
         }
         releaseUnreadTokens();
@@ -366,6 +407,7 @@
     private void observe(UpstreamState from, OutlierDetector.Outcome outcome) {
         boolean ejectedBefore = from.outlierDetector().ejected();
         dispatcher.observe(from, outcome);
+        placement.outcome(outcome);
         log.observed(from, outcome, ejectedBefore);
     }
 
@@ -373,6 +415,7 @@
         environment.vertx().cancelTimer(responseTimer);
         releaseUnreadTokens();
         worker.ended(prompt().tokens());
+        placement.ended();
         attempt = null;
     }
 
@@ -436,8 +479,13 @@
 
     /** Refuses a request that provably has not run and states when to retry. */
     private void refuse(String reason) {
+        refuse(reason, 0);
+    }
+
+    private void refuse(String reason, long backlogMillis) {
         long retryAfterMillis = RetryAfter.delayMillis(
                 remainingMillis(),
+                backlogMillis,
                 dispatcher.pauseMillis(service()),
                 environment.random().nextDouble());
         respondFromNode(SERVICE_UNAVAILABLE, retryAfterMillis, reason);
@@ -472,12 +520,15 @@
      * have run.
      */
     void onQueueTimeout() {
+        endUnplaced("no place within the longest wait", 0);
+    }
+
+    private void endUnplaced(String reason, long backlogMillis) {
         queued = false;
-        String reason = "no place within the longest wait";
         if (runs > 0) {
             fail(BAD_GATEWAY, reason);
         } else {
-            refuse(reason);
+            refuse(reason, backlogMillis);
         }
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -26,6 +26,7 @@
 
     private static final String HOST = "host";
     private static final String PORT = "port";
+    private static final String CAPACITY = "cpu_millicores";
 
     /** How long a node counts as alive after its last message, in milliseconds: 16 rounds of the state exchange. */
     private static final long ALIVE_MILLIS = 4_000;
@@ -49,6 +50,8 @@
     private final IntConsumer onAliveCount;
     private final StoreReachability storeReachability;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
+    private final Map<String, Integer> capacityByName = new TreeMap<>();
+    private Map<String, Integer> capacities = Map.of();
     private boolean registeredBefore;
     private boolean deregistered;
 
@@ -115,7 +118,9 @@
             return;
         }
         ObjectNode content = JsonNodeFactory.instance.objectNode();
-        content.put(HOST, ownAddress.host()).put(PORT, ownAddress.port());
+        content.put(HOST, ownAddress.host())
+                .put(PORT, ownAddress.port())
+                .put(CAPACITY, environment.settings().resources().cpuMillicores());
         store.put(CollectionStore.NODES, environment.settings().nodeName(), content)
                 .onSuccess(result -> {
                     if (result instanceof StoreResult.Objects) {
@@ -211,7 +216,10 @@
      * nodes that have been unresponsive for long.
      */
     void checkNodes() {
-        onAliveCount.accept(aliveCount());
+        // where messages of a node arrive rarely, registered nodes are counted too, since those that share limits must
+        // not be too few
+        int registered = idByName.size() + 1;
+        onAliveCount.accept(homesPlace() ? Math.max(registered, aliveCount()) : aliveCount());
         reportSuspected();
         long nowMillis = nowMillis();
         for (Map.Entry<String, String> entry : Map.copyOf(idByName).entrySet()) {
@@ -223,7 +231,31 @@
         }
     }
 
+    /** Returns whether there are so many nodes that homes place requests. */
+    boolean homesPlace() {
+        return !capacities.isEmpty();
+    }
+
+    /**
+     * Returns the capacities of the registered nodes, including this one, by their ids; empty if there are so few nodes
+     * that each broadcast of the state exchange reaches all of them.
+     */
+    Map<String, Integer> capacities() {
+        return capacities;
+    }
+
+    private void updateCapacities() {
+        Map<String, Integer> updated = new TreeMap<>();
+        capacityByName.forEach((name, capacity) -> updated.put(idByName.get(name), capacity));
+        updated.put(ownId(), environment.settings().resources().cpuMillicores());
+        boolean enough = updated.size() > ForwardStateExchange.FAN_OUT + 1;
+        if (!capacities.equals(updated)) {
+            capacities = enough ? Map.copyOf(updated) : Map.of();
+        }
+    }
+
     private void removeNode(String name) {
+        capacityByName.remove(name);
         String id = idByName.remove(name);
         if (id != null) {
             nodes.remove(id);
@@ -235,8 +267,9 @@
         boolean registered = false;
         for (CollectionObject object : objects) {
             registered |= object.name().equals(environment.settings().nodeName());
-            changed(object, revision);
+            apply(object);
         }
+        updateCapacities();
         if (!registered) {
             registerAgain();
         }
@@ -244,6 +277,11 @@
 
     @Override
     public void changed(CollectionObject object, long revision) {
+        apply(object);
+        updateCapacities();
+    }
+
+    private void apply(CollectionObject object) {
         if (object.name().equals(environment.settings().nodeName())) {
             onOwnRegistration(object);
             return;
@@ -270,6 +308,8 @@
             removeNode(object.name());
         }
         idByName.put(object.name(), id(address));
+        capacityByName.put(
+                object.name(), Math.max(1, object.content().path(CAPACITY).asInt(1)));
         addIfAbsent(address);
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
@@ -49,6 +49,7 @@
      *
      * @param memoryMegabytes the memory of the process, in megabytes
      * @param maxDescriptors the limit of open files and sockets of the process
+     * @param cpuMillicores the processor capacity, in thousandths of a core of the usual speed
      */
-    public record Resources(int memoryMegabytes, int maxDescriptors) {}
+    public record Resources(int memoryMegabytes, int maxDescriptors, int cpuMillicores) {}
 }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
@@ -54,7 +54,7 @@
                 List.of("10.0.0.2"),
                 new ListenAddress("10.9.0.1", 4),
                 new NodeSettings.Bounds(8_000, 0.2, 10_000, 50),
-                new NodeSettings.Resources(280, 4_000));
+                new NodeSettings.Resources(280, 4_000, 750));
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
                 new CurrentSettings(settings),
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SharedFailuresTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SharedFailuresTest.java
@@ -6,7 +6,7 @@
 import io.lagoonseam.core.forward.OutcomeCount;
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.PrefixChooser;
-import io.lagoonseam.core.forward.ServiceRetryBudget;
+import io.lagoonseam.core.forward.ServiceWorkers;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
 import java.util.ArrayList;
@@ -38,23 +38,22 @@
      */
     private record Result(int requests, int failed, int ejectedOthers) {}
 
-    private static ServiceQueue node(int workers) {
-        ServiceQueue queue = new ServiceQueue(
-                new PrefixChooser(), new LeastLoadedChooser(1), new ServiceRetryBudget(0.2, 10_000, 50));
+    private static ServiceWorkers node(int workers) {
+        ServiceWorkers service = new ServiceWorkers(new PrefixChooser(), new LeastLoadedChooser(1));
         for (int index = 0; index < workers; index++) {
             UpstreamRecord record = new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", 64, false, 1);
-            queue.workers().put("w" + index, queue.newState(record));
+            service.workers().put("w" + index, service.newState(record));
         }
-        return queue;
+        return service;
     }
 
-    private static void exchange(List<ServiceQueue> nodes, long nowMillis) {
+    private static void exchange(List<ServiceWorkers> nodes, long nowMillis) {
         for (int from = 0; from < nodes.size(); from++) {
             for (int to = 0; to < nodes.size(); to++) {
                 if (from == to) {
                     continue;
                 }
-                ServiceQueue receiver = nodes.get(to);
+                ServiceWorkers receiver = nodes.get(to);
                 String sender = "node-" + from;
                 nodes.get(from).workers().forEach((id, worker) -> {
                     OutcomeCount count = worker.recentOutcomes().count(nowMillis);
@@ -67,7 +66,7 @@
 
     private static Result simulate(boolean shared, int workers, double failShare, double baseFailShare, long seed) {
         Random random = new Random(seed);
-        List<ServiceQueue> nodes =
+        List<ServiceWorkers> nodes =
                 IntStream.range(0, NODES).mapToObj(index -> node(workers)).toList();
         int requests = 0;
         int failed = 0;
@@ -76,7 +75,7 @@
             if (shared && nowMillis % EXCHANGE_INTERVAL_MILLIS == 0) {
                 exchange(nodes, nowMillis);
             }
-            ServiceQueue node = nodes.get(random.nextInt(NODES));
+            ServiceWorkers node = nodes.get(random.nextInt(NODES));
             List<UpstreamState> eligible = new ArrayList<>();
             for (UpstreamState worker : node.workers().values()) {
                 if (worker.outlierDetector().acceptsRequests(nowMillis)) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -61,6 +62,29 @@
         return read(() -> unpacker.readPayload(checkedSize(unpacker.unpackBinaryHeader())));
     }
 
+    String text() {
+        return read(unpacker::unpackString);
+    }
+
+    /** Reads the number of items, then the fields of each. */
+    <T> List<T> items(Function<MessageReader, T> itemReader) {
+        int size = checkedSize(read(unpacker::unpackArrayHeader));
+        List<T> items = new ArrayList<>();
+        for (int index = 0; index < size; index++) {
+            items.add(itemReader.apply(this));
+        }
+        return items;
+    }
+
+    /** Reads the ordinal of a constant. */
+    <T> T constant(T[] constants) {
+        long ordinal = number();
+        if (ordinal < 0 || ordinal >= constants.length) {
+            throw new IllegalArgumentException("malformed message: constant " + ordinal);
+        }
+        return constants[(int) ordinal];
+    }
+
     List<String> list() {
         return read(() -> {
             int size = checkedSize(unpacker.unpackArrayHeader());
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -49,5 +49,17 @@
     /** Requests a copy of the store as the receiver has it, answered by {@link ForwardMessages.Snapshot}. */
     public static final int FORWARD_PULL = 71;
 
+    /**
+     * Asks the home of a service for workers and reports what became of earlier requests:
+     * {@link PlacementMessages.Batch}.
+     */
+    public static final int PLACEMENT = 72;
+
+    /**
+     * Sends a home's decisions about queued requests: {@link PlacementMessages.Decisions}; answered by an empty
+     * message.
+     */
+    public static final int PLACEMENT_DECISIONS = 73;
+
     private MessageTypes() {}
 }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageWriter.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageWriter.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
@@ -70,6 +71,17 @@
         });
     }
 
+    MessageWriter text(String value) {
+        return write(() -> packer.packString(value));
+    }
+
+    /** Writes the number of items, then the fields of each. */
+    <T> MessageWriter items(List<T> items, BiConsumer<MessageWriter, T> itemWriter) {
+        write(() -> packer.packArrayHeader(items.size()));
+        items.forEach(item -> itemWriter.accept(this, item));
+        return this;
+    }
+
     byte[] bytes() {
         return packer.toByteArray();
     }
