Gather changes between watches, and let listings be stale where a watch follows

Change: 0.4 s (2.5 s for registrations) pass between a watch that returned changes and the next; listings after dropped history and the first ones of workers and nodes may be stale; the watch of workers is as long as that of the configuration, since a third of the workers removed at once counts as an outage. A node that is behind a peer waits 0.6 s for its own watch before it pulls. A home that does not answer is given up after ticks of the node, not wall time.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
@@ -27,6 +27,11 @@
      */
     private static final int MAX_TOMBSTONES = 24_000;
 
+    /** The minimum number of records, and their share, that are removed at once only if they expire in an outage. */
+    private static final int MIN_EXPIRED_TOGETHER = 3;
+
+    private static final double EXPIRED_SHARE = 1.0 / 3;
+
     private final Map<String, KnownWorker> known = new HashMap<>();
     private final Map<String, Long> tombstoneRevisions = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -116,6 +121,25 @@
         entry.missingSinceMillis = Long.MAX_VALUE;
     }
 
+    /**
+     * Records that the store has removed several records at the same time. If they are many, they have expired in an
+     * outage that this node has not noticed, since none of its calls has failed.
+     *
+     * @param ids the ids of the workers
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordRemovals(Collection<String> ids, long nowMillis) {
+        long serving = known.values().stream()
+                .filter(entry -> !isLeaving(entry.record) && entry.missingSinceMillis == Long.MAX_VALUE)
+                .count();
+        long removed = ids.stream()
+                .filter(id -> known.containsKey(id) && !isLeaving(known.get(id).record))
+                .count();
+        if (removed >= MIN_EXPIRED_TOGETHER && removed > EXPIRED_SHARE * serving) {
+            recordOutage(nowMillis);
+        }
+    }
+
     /**
      * Applies the removal of a record.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -301,6 +301,9 @@
         if (!queue.workers().workers().isEmpty()) {
             queue.queuedRequests().dispatch(queued -> dispatch(queue, queued));
         }
+        if (request.queued()) {
+            request.onQueued();
+        }
     }
 
     private boolean dispatch(ServiceQueue queue, ForwardedRequest request) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -53,6 +53,12 @@
     /** Interval at which a stopping node checks whether all requests are served, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 50;
 
+    /** How long changes of the configuration and of the workers are gathered before the next watch, in milliseconds. */
+    private static final long GATHER_MILLIS = 400;
+
+    /** The same for the registrations of nodes, in milliseconds; peers learn of each other from messages too. */
+    private static final long NODES_GATHER_MILLIS = 2_500;
+
     private final ForwardEnvironment environment;
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final ForwardDispatcher dispatcher;
@@ -145,27 +151,32 @@
         metrics.gauge("placement.requests_waiting", placement::waitingRequests);
         metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
+        LongSupplier longPollTimeoutMillis = () -> WatchPolicy.longPollTimeoutMillis(dispatcher.nodeCount());
         this.followers = List.of(
                 follower(
                         store,
                         CollectionStore.CONFIGURATION,
                         storeReplica.configurationListener(),
-                        () -> WatchPolicy.longPollTimeoutMillis(dispatcher.nodeCount())),
+                        new CollectionFollower.Options(longPollTimeoutMillis, GATHER_MILLIS, false)),
                 follower(
                         store,
                         CollectionStore.UPSTREAMS,
                         storeReplica.upstreamListener(),
-                        () -> CollectionFollower.SHORT_WATCH_MILLIS),
-                follower(store, CollectionStore.NODES, nodes, () -> CollectionFollower.LONG_WATCH_MILLIS));
+                        new CollectionFollower.Options(longPollTimeoutMillis, GATHER_MILLIS, true)),
+                follower(
+                        store,
+                        CollectionStore.NODES,
+                        nodes,
+                        new CollectionFollower.Options(
+                                () -> CollectionFollower.LONG_WATCH_MILLIS, NODES_GATHER_MILLIS, true)));
     }
 
     private CollectionFollower follower(
             CollectionStore store,
             String collection,
             CollectionFollower.Listener listener,
-            LongSupplier longPollTimeoutMillis) {
-        return new CollectionFollower(
-                environment.vertx(), store, collection, listener, environment.random(), longPollTimeoutMillis);
+            CollectionFollower.Options options) {
+        return new CollectionFollower(environment.vertx(), store, collection, listener, environment.random(), options);
     }
 
     /** Applies changed settings. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
@@ -42,6 +42,12 @@
      */
     private static final int OUTCOME_INTERVAL = 2;
 
+    /**
+     * How long a node that is behind a peer waits for its own watch before it pulls the peer's snapshot, in
+     * milliseconds: longer than changes are gathered between two watches.
+     */
+    private static final long PULL_DELAY_MILLIS = 600;
+
     private static final long PULL_TIMEOUT_MILLIS = 1_500;
 
     private final ForwardEnvironment environment;
@@ -246,13 +252,22 @@
     /** Records a message from a peer, and pulls the snapshot of the peer if it holds newer versions. */
     private void onPeerVersions(String peer, ForwardMessages.State state) {
         nodes.onMessage(peer);
-        boolean ahead = state.configurationVersion() > storeState.configurationVersion()
-                || state.upstreamRevision() > storeState.upstreamRevision();
-        if (ahead && !pulling) {
-            pull(peer);
+        if (isAhead(state) && !pulling) {
+            pulling = true;
+            environment.vertx().setTimer(PULL_DELAY_MILLIS, timer -> {
+                pulling = false;
+                if (isAhead(state)) {
+                    pull(peer);
+                }
+            });
         }
     }
 
+    private boolean isAhead(ForwardMessages.State state) {
+        return state.configurationVersion() > storeState.configurationVersion()
+                || state.upstreamRevision() > storeState.upstreamRevision();
+    }
+
     private void pull(String peer) {
         pulling = true;
         transport
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -169,6 +169,11 @@
                 triedWorkers);
     }
 
+    /** Returns whether the request has not been sent and not been ended. */
+    boolean queued() {
+        return queued;
+    }
+
     private WorkKind kind() {
         return admitted.route().kind();
     }
@@ -198,9 +203,12 @@
         long waitMillis = Math.round(share * admitted.route().objectiveMillis());
         queueDeadlineMillis = Math.min(deadlineMillis, nowMillis() + waitMillis);
         dispatcher.submit(this, queueDeadlineMillis);
-        if (queued) {
-            log.queued(waitMillis);
-        }
+    }
+
+    /** Called when the request waits, at this node or at the home of its service. */
+    @Override
+    public void onQueued() {
+        log.queued(queueDeadlineMillis - nowMillis());
     }
 
     @Override
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -276,8 +276,8 @@
     }
 
     @Override
-    public void changed(CollectionObject object, long revision) {
-        apply(object);
+    public void changed(List<CollectionObject> objects, long revision) {
+        objects.forEach(this::apply);
         updateCapacities();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -130,8 +130,8 @@
         }
 
         @Override
-        public void changed(CollectionObject object, long revision) {
-            applyConfiguration(object);
+        public void changed(List<CollectionObject> objects, long revision) {
+            objects.forEach(StoreReplica.this::applyConfiguration);
         }
 
         @Override
@@ -153,14 +153,24 @@
         }
 
         @Override
-        public void changed(CollectionObject object, long revision) {
-            upstreamRevision = Math.max(upstreamRevision, object.revision());
-            if (object.removed()) {
-                upstreams.remove(object.name());
-                directory.applyRemoval(object.name(), Math.max(object.revision(), revision), nowMillis());
-            } else {
-                upstreams.put(object.name(), object);
-                decodeUpstream(object).ifPresent(directory::applyChange);
+        public void changed(List<CollectionObject> objects, long revision) {
+            if (objects.isEmpty()) {
+                return;
+            }
+            List<String> removed = objects.stream()
+                    .filter(CollectionObject::removed)
+                    .map(CollectionObject::name)
+                    .toList();
+            directory.recordRemovals(removed, nowMillis());
+            for (CollectionObject object : objects) {
+                upstreamRevision = Math.max(upstreamRevision, object.revision());
+                if (object.removed()) {
+                    upstreams.remove(object.name());
+                    directory.applyRemoval(object.name(), Math.max(object.revision(), revision), nowMillis());
+                } else {
+                    upstreams.put(object.name(), object);
+                    decodeUpstream(object).ifPresent(directory::applyChange);
+                }
             }
             onUpstreams.run();
         }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeChannel.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeChannel.java
@@ -13,11 +13,8 @@
 /** Carries batches to homes: over the transport between nodes, or directly if this node is the home. */
 public final class HomeChannel {
 
-    /**
-     * How long a home may take to answer, in milliseconds: about a third of the shortest latency objectives, so that
-     * this node can still decide by itself in time.
-     */
-    private static final long REPLY_TIMEOUT_MILLIS = 80;
+    /** How long an answer is accepted, in milliseconds. {@link HomeLink} gives up on a home earlier. */
+    private static final long REPLY_TIMEOUT_MILLIS = 1_000;
 
     private final PeerTransport transport;
     private final HomeServer ownServer;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
@@ -30,6 +30,13 @@
     /** How long reports are gathered before they are sent, in milliseconds. */
     private static final long GATHER_MILLIS = 20;
 
+    /**
+     * How long a home may take to answer, in ticks of 10 ms: about a third of the shortest latency objectives, so that
+     * this node can still decide by itself in time. Ticks do not count time in which this node itself did not run, when
+     * answers wait to be received.
+     */
+    private static final long REPLY_TIMEOUT_TICKS = 8;
+
     /** The interval at which a home is asked for a sign of life while requests wait there, in milliseconds. */
     private static final long WAITING_KEEPALIVE_MILLIS = 60;
 
@@ -55,6 +62,10 @@
     private long lastNumber;
     private long lastSentMillis;
     private long reportsSinceMillis = Long.MAX_VALUE;
+    private long ticks;
+    private long lastBatch;
+    /** The ticks at which the batches without an answer were sent, by batch. */
+    private final Map<Long, Long> unanswered = new LinkedHashMap<>();
 
     private record Waiting(PlacedRequest request, long latestStartMillis) {}
 
@@ -128,6 +139,7 @@
         servedBefore |= session != 0;
         home = id;
         session = 0;
+        unanswered.clear();
         complete = true;
         askAgain();
     }
@@ -222,12 +234,18 @@
         complete = false;
         reportsSinceMillis = Long.MAX_VALUE;
         lastSentMillis = nowMillis();
-        client.channel().send(to, batch, reply -> onReply(to, asks, reply));
+        lastBatch++;
+        long number = lastBatch;
+        unanswered.put(number, ticks);
+        client.channel().send(to, batch, reply -> onReply(to, number, reply));
     }
 
-    private void onReply(String from, List<Ask> asks, Optional<Decisions> reply) {
+    private void onReply(String from, long batch, Optional<Decisions> reply) {
+        boolean awaited = unanswered.remove(batch) != null;
         if (reply.isEmpty() || reply.get().session() == 0) {
-            onNoAnswer(from, asks);
+            if (awaited) {
+                onNoAnswer(from);
+            }
             return;
         }
         client.onAnswer(from);
@@ -247,29 +265,19 @@
     }
 
     /** Has the next home decide, or this node itself. */
-    private void onNoAnswer(String from, List<Ask> asks) {
+    private void onNoAnswer(String from) {
         client.onSilence(from, service);
-        if (from.equals(home)) {
-            complete = true;
-            reportLater();
-        }
+        unanswered.clear();
+        complete = true;
+        reportLater();
         Optional<String> next = client.selectHome(service);
-        if (from.equals(home) && next.isPresent()) {
+        if (next.isPresent()) {
             useHome(next.get());
             return;
         }
-        if (next.isEmpty()) {
-            List<Waiting> undecided = List.copyOf(waiting.values());
-            waiting.clear();
-            undecided.forEach(this::giveUp);
-            return;
-        }
-        for (Ask ask : asks) {
-            Waiting entry = waiting.remove(ask.number());
-            if (entry != null) {
-                giveUp(entry);
-            }
-        }
+        List<Waiting> undecided = List.copyOf(waiting.values());
+        waiting.clear();
+        undecided.forEach(this::giveUp);
     }
 
     private void giveUp(Waiting entry) {
@@ -280,6 +288,10 @@
     void onDecided(String from, Decided decided) {
         long number = decided.number();
         if (decided.decision() instanceof PlacementDecision.Queued) {
+            Waiting asked = waiting.get(number);
+            if (asked != null && from.equals(home)) {
+                asked.request().onQueued();
+            }
             return;
         }
         Waiting entry = from.equals(home) ? waiting.remove(number) : null;
@@ -301,10 +313,16 @@
 
     void tick() {
         long nowMillis = nowMillis();
+        ticks++;
         giveUpOverdue(nowMillis);
         if (home.isEmpty()) {
             return;
         }
+        boolean silent = unanswered.values().stream().anyMatch(sentTick -> ticks - sentTick > REPLY_TIMEOUT_TICKS);
+        if (silent) {
+            onNoAnswer(home);
+            return;
+        }
         boolean reportsDue = nowMillis - GATHER_MILLIS >= reportsSinceMillis;
         long sinceSentMillis = nowMillis - lastSentMillis;
         boolean keepaliveDue = !waiting.isEmpty() && sinceSentMillis >= WAITING_KEEPALIVE_MILLIS
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/PlacedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/PlacedRequest.java
@@ -3,7 +3,10 @@
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.placement.PlacementDecision;
 
-/** A request that waits for the decision of a home. Exactly one of the callbacks is called, on the event loop. */
+/**
+ * A request that waits for the decision of a home. Exactly one of the callbacks other than {@link #onQueued} is called,
+ * on the event loop.
+ */
 public interface PlacedRequest {
 
     /** Returns the name of its service. */
@@ -15,6 +18,9 @@
     /** Returns what it asks of a worker. */
     WorkerDemand demand();
 
+    /** Called when the home has no worker for the request yet and has queued it. */
+    void onQueued();
+
     /**
      * Called when the home has found a worker.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -55,10 +55,22 @@
     private final String collection;
     private final Listener listener;
     private final Random random;
-    private final LongSupplier longPollTimeoutMillis;
+    private final Options options;
     private long revision = -1;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private int pendingListings;
+    /** Whether the last listing may have been stale and no watch has succeeded since. */
+    private boolean staleListing;
+
+    /**
+     * How a collection is followed.
+     *
+     * @param longPollTimeoutMillis supplies the long-poll timeout of each new watch, in milliseconds
+     * @param gatherMillis how long changes are gathered between a watch that returned some and the next one, in
+     *     milliseconds; each watch is a call, and the objects of a collection often change together
+     * @param firstListingMayBeStale whether the first listing may be some seconds old
+     */
+    public record Options(LongSupplier longPollTimeoutMillis, long gatherMillis, boolean firstListingMayBeStale) {}
 
     /** Receives the objects of the collection and the results of calls to the store. */
     public interface Listener {
@@ -72,12 +84,12 @@
         void listed(List<CollectionObject> objects, long revision);
 
         /**
-         * Called when an object was created, changed or removed.
+         * Called with the objects that were created, changed or removed.
          *
-         * @param object the object after the change
-         * @param revision the store's revision that the watch returned with the change
+         * @param objects the objects after their changes, in order; empty if a watch ended without any
+         * @param revision the store's revision that the watch returned with the changes
          */
-        void changed(CollectionObject object, long revision);
+        void changed(List<CollectionObject> objects, long revision);
 
         /**
          * Called when a call to the store failed.
@@ -98,26 +110,21 @@
      * @param collection the name of the collection
      * @param listener receives the objects and the results of calls
      * @param random source of the backoff jitter, which spreads the calls of several nodes
-     * @param longPollTimeoutMillis supplies the long-poll timeout of each new watch, in milliseconds
+     * @param options how the collection is followed
      */
     public CollectionFollower(
-            Vertx vertx,
-            CollectionStore store,
-            String collection,
-            Listener listener,
-            Random random,
-            LongSupplier longPollTimeoutMillis) {
+            Vertx vertx, CollectionStore store, String collection, Listener listener, Random random, Options options) {
         this.vertx = vertx;
         this.store = store;
         this.collection = collection;
         this.listener = listener;
         this.random = random;
-        this.longPollTimeoutMillis = longPollTimeoutMillis;
+        this.options = options;
     }
 
     /** Requests the first listing; called once. */
     public void start() {
-        list();
+        list(options.firstListingMayBeStale());
     }
 
     private boolean hasListing() {
@@ -125,9 +132,13 @@
     }
 
     private void list() {
+        list(false);
+    }
+
+    private void list(boolean mayBeStale) {
         pendingListings++;
         boolean first = !hasListing();
-        store.list(collection).onSuccess(result -> onListed(result, first));
+        store.list(collection, mayBeStale).onSuccess(result -> onListed(result, first, mayBeStale));
         if (first) {
             vertx.setTimer(FIRST_LISTING_RETRY_MILLIS, timer -> {
                 if (!hasListing() && pendingListings > 0 && pendingListings < MAX_CONCURRENT_LISTINGS) {
@@ -137,17 +148,22 @@
         }
     }
 
-    private void onListed(StoreResult result, boolean first) {
+    private void onListed(StoreResult result, boolean first, boolean mayBeStale) {
         pendingListings--;
         if (first && hasListing()) {
             return;
         }
         if (result instanceof StoreResult.Objects listing) {
+            if (listing.revision() < revision && mayBeStale) {
+                list();
+                return;
+            }
             if (StoreRevision.era(listing.revision()) < StoreRevision.era(revision)) {
                 scheduleRetry("the listing is of an earlier era of the store", this::list);
                 return;
             }
             onSuccess();
+            staleListing = mayBeStale;
             revision = listing.revision();
             listener.listed(listing.objects(), listing.revision());
             watch();
@@ -157,7 +173,8 @@
     }
 
     private void watch() {
-        store.watch(collection, revision, longPollTimeoutMillis.getAsLong()).onSuccess(this::onChanged);
+        store.watch(collection, revision, options.longPollTimeoutMillis().getAsLong())
+                .onSuccess(this::onChanged);
     }
 
     private void onChanged(StoreResult result) {
@@ -168,11 +185,17 @@
                 return;
             }
             onSuccess();
+            staleListing = false;
             revision = Math.max(revision, changes.revision());
-            changes.objects().forEach(object -> listener.changed(object, changes.revision()));
-            watch();
+            listener.changed(changes.objects(), changes.revision());
+            if (changes.objects().isEmpty() || options.gatherMillis() == 0) {
+                watch();
+            } else {
+                vertx.setTimer(options.gatherMillis(), timer -> watch());
+            }
         } else if (result instanceof StoreResult.HistoryGone) {
-            list();
+            // a stale listing is enough unless its own revision is gone too
+            list(!staleListing);
         } else {
             scheduleRetry(String.valueOf(result), this::list);
         }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionStore.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionStore.java
@@ -22,9 +22,10 @@
      * Lists a collection.
      *
      * @param collection the name of the collection
+     * @param mayBeStale whether a listing that is some seconds old is enough, which costs the store less
      * @return {@link StoreResult.Objects} or {@link StoreResult.Unavailable}
      */
-    Future<StoreResult> list(String collection);
+    Future<StoreResult> list(String collection, boolean mayBeStale);
 
     /**
      * Waits for changes of a collection (long poll).
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
@@ -152,7 +152,7 @@
         }
 
         @Override
-        public Future<StoreResult> list(String collection) {
+        public Future<StoreResult> list(String collection, boolean mayBeStale) {
             return unavailable();
         }
 
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -32,6 +32,7 @@
     private final List<JsonObject> ran = new ArrayList<>();
     private final AtomicInteger openRequests = new AtomicInteger();
     private int plainRunning;
+    private volatile int mostRunning;
     private final AtomicLong arrivals = new AtomicLong();
     private double failureRate;
     private double lostAnswerShare;
@@ -153,6 +154,7 @@
             return;
         }
         plainRunning++;
+        mostRunning = Math.max(mostRunning, plainRunning);
         recordRun(request);
         long waves = 1 + plainRunning / Math.max(1, options.slots());
         vertx.setTimer(Math.max(1, waves * options.requestMillis()), timer -> {
@@ -270,6 +272,16 @@
         return List.copyOf(ran);
     }
 
+    /**
+     * Returns the largest number of requests of a plain service that the worker had at the same time, queued ones
+     * included. May be called from any thread.
+     *
+     * @return the number of requests
+     */
+    public int mostRunning() {
+        return mostRunning;
+    }
+
     /**
      * Returns the number of requests received, including rejected ones. May be called from any thread.
      *
