--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -86,6 +86,25 @@
             return URI.create("http://" + HOST + ":" + settings.callers().port() + path);
         }
 
+        /**
+         * Requests the metrics of the node.
+         *
+         * @param client the HTTP client to use
+         * @return the metrics as text, empty if there was no response
+         */
+        public String metrics(HttpClient client) {
+            try {
+                URI uri =
+                        URI.create("http://" + HOST + ":" + settings.readiness().port() + "/metrics");
+                return client.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
+                        .body();
+            } catch (IOException e) {
+                return "";
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
         /**
          * Requests the readiness endpoint of the node.
          *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -145,6 +145,7 @@
             return CompletableFuture.completedFuture(new byte[0]);
         });
         dispatcher.placement(placement);
+        metrics.gauge("homes.candidates", () -> nodes.capacities().size());
         metrics.gauge("homes.served", homes::homes);
         metrics.gauge("homes.requests_waiting", homes::queuedRequests);
         metrics.gauge("homes.requests_placed", homes::placedRequests);
