Read a prefix once, and compare ways of placement on a virtual clock

Cause: a burst of one cold prefix was read by six workers at once (PlacementHomeTest failed first): an idle worker that reads it whole looked faster than the one that reads it already. Change: workers that hold the prefix come first; while it is being read, requests that its reader cannot serve in time wait until it can be copied. Experiment placement.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -8,6 +8,7 @@
 import io.lagoonseam.bench.experiment.burst.BurstExperiment;
 import io.lagoonseam.bench.experiment.decision.DecisionCostExperiment;
 import io.lagoonseam.bench.experiment.fault.FaultExperiment;
+import io.lagoonseam.bench.experiment.placement.PlacementExperiment;
 import io.lagoonseam.bench.experiment.routing.RoutingExperiment;
 import io.lagoonseam.bench.membership.MembershipExperiment;
 import io.lagoonseam.bench.membership.RollingExperiment;
@@ -34,6 +35,7 @@
             new IdleCostExperiment(),
             new MembershipExperiment(),
             new OutageExperiment(),
+            new PlacementExperiment(),
             new PropagationExperiment(),
             new RollingExperiment(),
             new RouterCostExperiment(),
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
@@ -0,0 +1,197 @@
+package io.lagoonseam.bench.experiment.placement;
+
+import io.lagoonseam.core.forward.WorkerLoad;
+import io.lagoonseam.core.placement.PlacementDecision;
+import io.lagoonseam.core.placement.PlacementHome;
+import io.lagoonseam.core.placement.PlacementKey;
+import io.lagoonseam.core.placement.PlacementRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * One home places the requests of all nodes. Messages take time, and reports are gathered before they are sent. Without
+ * these delays it is the bound that a home with perfect knowledge reaches.
+ */
+final class HomeWay implements PlacementWay {
+
+    private static final double WAIT_SHARE = 0.35;
+    private static final long DISPATCH_MILLIS = 10;
+    private static final long NODE_TIMEOUT_MILLIS = 80;
+
+    private final Actions actions;
+    private final long messageMillis;
+    private final long gatherMillis;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<Long, ModelRequest> requests = new HashMap<>();
+    private final Map<ModelRequest, Sent> sent = new LinkedHashMap<>();
+    private PlacementHome home = new PlacementHome(ModelWorkers.create());
+    private List<Integer> serving = List.of();
+    private long homeUpAtMillis;
+    private long lastNumber;
+    private long messages;
+
+    private record Sent(long number, int worker, long unreadTokens, long sentMillis) {}
+
+    private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    HomeWay(Actions actions, long messageMillis, long gatherMillis) {
+        this.actions = actions;
+        this.messageMillis = messageMillis;
+        this.gatherMillis = gatherMillis;
+    }
+
+    private void at(long millis, Runnable action) {
+        lastNumber++;
+        events.add(new Event(millis, lastNumber, action));
+    }
+
+    private PlacementKey key(long number, ModelRequest request) {
+        return new PlacementKey("n" + request.node, number);
+    }
+
+    @Override
+    public void submit(ModelRequest request, long nowMillis) {
+        messages += 2;
+        at(Math.max(nowMillis + messageMillis, homeUpAtMillis), () -> ask(request, nowMillis));
+    }
+
+    private void ask(ModelRequest request, long submittedMillis) {
+        long nowMillis = Math.max(submittedMillis + messageMillis, homeUpAtMillis);
+        if (request.ended) {
+            return;
+        }
+        lastNumber++;
+        long number = lastNumber;
+        requests.put(number, request);
+        if (home.dispatchDue()) {
+            dispatch(nowMillis);
+        }
+        long waitMillis = Math.round(WAIT_SHARE * request.kind.objectiveMillis());
+        decided(
+                number,
+                home.submit(
+                        new PlacementRequest(
+                                key(number, request),
+                                request.kind.priority(),
+                                request.demand(),
+                                submittedMillis + waitMillis),
+                        nowMillis),
+                nowMillis);
+    }
+
+    private void decided(long number, PlacementDecision decision, long nowMillis) {
+        ModelRequest request = requests.get(number);
+        if (decision instanceof PlacementDecision.Granted granted) {
+            int worker = ModelWorkers.index(granted.workerId());
+            long sentMillis = nowMillis + messageMillis;
+            if (request.ended) {
+                home.recordEnd(key(number, request));
+                return;
+            }
+            sent.put(request, new Sent(number, worker, granted.unreadTokens(), sentMillis));
+            int copyFrom = granted.copyFromId().isEmpty() ? -1 : ModelWorkers.index(granted.copyFromId());
+            actions.send(request, worker, copyFrom, sentMillis + 1);
+        } else if (decision instanceof PlacementDecision.Refused refused) {
+            actions.refuse(request, refused.backlogMillis());
+        }
+    }
+
+    private void dispatch(long nowMillis) {
+        for (PlacementHome.LateDecision late : home.dispatch(nowMillis)) {
+            messages += 2;
+            decided(late.key().number(), late.decision(), nowMillis);
+        }
+    }
+
+    @Override
+    public void tick(long nowMillis) {
+        while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
+            events.poll().action().run();
+        }
+        if (nowMillis % DISPATCH_MILLIS == 0 && nowMillis >= homeUpAtMillis && home.queuedRequests() > 0) {
+            dispatch(nowMillis);
+        }
+    }
+
+    private void report(long nowMillis, Runnable action) {
+        messages += 2;
+        long atMillis = nowMillis + gatherMillis + messageMillis;
+        if (atMillis >= homeUpAtMillis) {
+            at(atMillis, action);
+        }
+    }
+
+    @Override
+    public void onFirstEvent(ModelRequest request, int worker, int running, int waiting, long nowMillis) {
+        Sent entry = sent.get(request);
+        if (entry == null) {
+            return;
+        }
+        sent.put(request, new Sent(entry.number, worker, 0, entry.sentMillis));
+        long afterMillis = nowMillis - entry.sentMillis;
+        report(nowMillis, () -> {
+            home.recordLoad(ModelWorkers.id(worker), new WorkerLoad(running, waiting), nowMillis);
+            home.recordFirstEvent(key(entry.number, request), afterMillis, nowMillis);
+        });
+    }
+
+    @Override
+    public void onEnd(ModelRequest request, int worker, boolean failed, long nowMillis) {
+        Sent entry = sent.remove(request);
+        if (entry != null) {
+            requests.remove(entry.number);
+            report(nowMillis, () -> home.recordEnd(key(entry.number, request)));
+        }
+    }
+
+    @Override
+    public void workers(List<Integer> nowServing, long nowMillis) {
+        serving = List.copyOf(nowServing);
+        ModelWorkers.update(home.workers(), serving);
+        home.workersChanged();
+    }
+
+    /** The nodes notice after their time-out, and tell the next home what they have in flight. */
+    @Override
+    public void killHome(long nowMillis) {
+        homeUpAtMillis = nowMillis + NODE_TIMEOUT_MILLIS;
+        home = new PlacementHome(ModelWorkers.create());
+        ModelWorkers.update(home.workers(), serving);
+        List<ModelRequest> inFlight = new ArrayList<>(sent.keySet());
+        List<ModelRequest> waiting = requests.values().stream()
+                .filter(request -> !sent.containsKey(request) && !request.ended)
+                .toList();
+        requests.clear();
+        at(homeUpAtMillis, () -> {
+            for (ModelRequest request : inFlight) {
+                Sent entry = sent.get(request);
+                if (entry != null) {
+                    requests.put(entry.number, request);
+                    home.recordPlaced(
+                            key(entry.number, request),
+                            ModelWorkers.id(entry.worker),
+                            request.prompt.prefixHash(),
+                            request.prompt.tokens(),
+                            entry.unreadTokens,
+                            homeUpAtMillis);
+                }
+            }
+        });
+        waiting.forEach(request -> submit(request, nowMillis));
+    }
+
+    @Override
+    public long messages() {
+        return messages;
+    }
+}
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
@@ -0,0 +1,31 @@
+package io.lagoonseam.bench.experiment.placement;
+
+import io.lagoonseam.core.forward.PromptShape;
+import io.lagoonseam.core.forward.WorkerDemand;
+import java.util.Set;
+
+/** One request of a caller in the model. */
+final class ModelRequest {
+
+    final RequestKind kind;
+    final int node;
+    final long firstMillis;
+    final PromptShape prompt;
+    final int generatedTokens;
+    boolean retried;
+    boolean ended;
+    long firstEventMillis = -1;
+
+    ModelRequest(RequestKind kind, int node, long firstMillis, PromptShape prompt, int generatedTokens) {
+        this.kind = kind;
+        this.node = node;
+        this.firstMillis = firstMillis;
+        this.prompt = prompt;
+        this.generatedTokens = generatedTokens;
+    }
+
+    WorkerDemand demand() {
+        return new WorkerDemand(
+                prompt, kind.lane(), kind.objectiveMillis(), firstMillis + kind.objectiveMillis(), "a", Set.of());
+    }
+}
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
@@ -0,0 +1,267 @@
+package io.lagoonseam.bench.experiment.placement;
+
+import io.lagoonseam.core.forward.PromptShape;
+import io.lagoonseam.core.forward.RetryAfter;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/** Plays one scenario with one way of placement on a virtual clock, from cold workers on. */
+final class PlacementModel {
+
+    private static final long DURATION_MILLIS = 20_000;
+    private static final long BURST_BEGIN_MILLIS = 500;
+    private static final long BURST_END_MILLIS = 9_000;
+    private static final long LOSS_BEGIN_MILLIS = 2_600;
+    private static final long LOSS_END_MILLIS = 6_000;
+    /** How long after a loss the nodes know of it, in milliseconds. */
+    private static final long NOTICE_MILLIS = 300;
+
+    private final PlacementScenario scenario;
+    private final Random random;
+    private final List<EngineModel> engines = new ArrayList<>();
+    private final Map<ModelRequest, Integer> workerOf = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Set<Long> prefixesRead = new HashSet<>();
+    private final Map<String, ClassCount> counts = new HashMap<>();
+    private final PlacementWay way;
+    private long nowMillis;
+    private long rejected;
+    private long firstReads;
+
+    /** The ways that are compared. */
+    enum Way {
+        /** Each node decides, with an exchange of counts. */
+        EXCHANGE,
+        /** A home decides. */
+        HOME,
+        /** A home decides without any delay of messages. */
+        HOME_WITHOUT_DELAY
+    }
+
+    /** What callers of one class got. */
+    static final class ClassCount {
+        int asked;
+        int inTime;
+        int late;
+        int refused;
+        int lost;
+
+        double inTimeShare() {
+            return asked == 0 ? 1 : (double) inTime / asked;
+        }
+    }
+
+    /**
+     * The result of a run.
+     *
+     * @param classes what callers got, by class
+     * @param readTokens the prompt tokens that all workers read
+     * @param neededTokens those that had to be read: each prefix once, and the rest of each prompt that was sent
+     * @param preemptions the number of preemptions
+     * @param rejected the number of requests that arrived at a full worker
+     * @param messages the number of messages between nodes
+     */
+    record Result(
+            Map<String, ClassCount> classes,
+            long readTokens,
+            long neededTokens,
+            long preemptions,
+            long rejected,
+            long messages) {}
+
+    private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    PlacementModel(PlacementScenario scenario, Way way, long seed) {
+        this.scenario = scenario;
+        this.random = new Random(seed);
+        PlacementWay.Actions actions = new ModelActions();
+        Map<Way, PlacementWay> ways = new EnumMap<>(Way.class);
+        ways.put(Way.EXCHANGE, new ExchangeWay(scenario.nodes(), actions, new Random(seed)));
+        ways.put(Way.HOME, new HomeWay(actions, 1, 20));
+        ways.put(Way.HOME_WITHOUT_DELAY, new HomeWay(actions, 0, 0));
+        this.way = ways.get(way);
+    }
+
+    private void at(long millis, Runnable action) {
+        events.add(new Event(millis, events.size() + 1_000_000L * millis, action));
+    }
+
+    private final class ModelActions implements PlacementWay.Actions {
+        @Override
+        public void send(ModelRequest request, int worker, int copyFrom, long atMillis) {
+            at(Math.max(atMillis, nowMillis + 1), () -> arrive(request, worker, copyFrom));
+        }
+
+        @Override
+        public void refuse(ModelRequest request, long backlogMillis) {
+            long leftMillis = request.firstMillis + request.kind.deadlineMillis() - nowMillis;
+            if (request.retried || leftMillis <= 0) {
+                count(request).refused++;
+                request.ended = true;
+                return;
+            }
+            request.retried = true;
+            long delayMillis = RetryAfter.delayMillis(leftMillis, backlogMillis, 0, random.nextDouble());
+            at(nowMillis + delayMillis, () -> way.submit(request, nowMillis));
+        }
+    }
+
+    private void arrive(ModelRequest request, int worker, int copyFrom) {
+        if (request.ended || workerOf.containsKey(request)) {
+            way.onEnd(request, worker, false, nowMillis);
+            return;
+        }
+        EngineModel source = copyFrom < 0 ? null : engines.get(copyFrom);
+        if (!engines.get(worker).add(request, source)) {
+            rejected++;
+            way.onEnd(request, worker, true, nowMillis);
+            way.submit(request, nowMillis);
+            return;
+        }
+        workerOf.put(request, worker);
+        firstReads += request.prompt.tokens() - request.prompt.prefixTokens();
+        if (prefixesRead.add(request.prompt.prefixHash())) {
+            firstReads += request.prompt.prefixTokens();
+        }
+    }
+
+    private void onFirstEvent(ModelRequest request) {
+        request.firstEventMillis = nowMillis;
+        int worker = workerOf.get(request);
+        EngineModel engine = engines.get(worker);
+        way.onFirstEvent(request, worker, engine.running(), engine.waiting(), nowMillis);
+    }
+
+    private void onEnd(ModelRequest request) {
+        request.ended = true;
+        if (request.firstEventMillis - request.firstMillis <= request.kind.objectiveMillis()) {
+            count(request).inTime++;
+        } else {
+            count(request).late++;
+        }
+        way.onEnd(request, workerOf.remove(request), false, nowMillis);
+    }
+
+    private ClassCount count(ModelRequest request) {
+        return counts.computeIfAbsent(request.kind.name(), name -> new ClassCount());
+    }
+
+    Result run() {
+        for (int index = 0; index < scenario.workers(); index++) {
+            engines.add(new EngineModel(this::onFirstEvent, this::onEnd));
+        }
+        way.workers(serving(), 0);
+        for (RequestKind kind : RequestKind.MIX) {
+            arrivals(kind);
+        }
+        at(LOSS_BEGIN_MILLIS, this::loseWorkers);
+        at(LOSS_END_MILLIS, () -> engines.forEach(engine -> engine.up = true));
+        at(LOSS_END_MILLIS + NOTICE_MILLIS, () -> way.workers(serving(), nowMillis));
+        if (scenario.homeDiesMillis() > 0) {
+            at(scenario.homeDiesMillis(), () -> way.killHome(nowMillis));
+        }
+        for (nowMillis = 0; nowMillis < DURATION_MILLIS; nowMillis++) {
+            while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
+                events.poll().action().run();
+            }
+            way.tick(nowMillis);
+            for (EngineModel engine : engines) {
+                engine.advance(nowMillis);
+            }
+        }
+        return new Result(
+                Map.copyOf(counts),
+                engines.stream().mapToLong(engine -> engine.readTokens).sum(),
+                firstReads,
+                engines.stream().mapToLong(engine -> engine.preemptions).sum(),
+                rejected,
+                way.messages());
+    }
+
+    private List<Integer> serving() {
+        List<Integer> serving = new ArrayList<>();
+        for (int index = 0; index < engines.size(); index++) {
+            if (engines.get(index).up) {
+                serving.add(index);
+            }
+        }
+        return serving;
+    }
+
+    private void loseWorkers() {
+        int count = (int) Math.round(scenario.lostWorkers() * engines.size());
+        for (int index = 0; index < count; index++) {
+            int worker = index;
+            for (ModelRequest request : engines.get(index).crash()) {
+                count(request).lost++;
+                request.ended = true;
+                workerOf.remove(request);
+                way.onEnd(request, worker, true, nowMillis);
+            }
+        }
+        at(nowMillis + NOTICE_MILLIS, () -> way.workers(serving(), nowMillis));
+    }
+
+    private void arrivals(RequestKind kind) {
+        double time = 0;
+        // callers of the last three seconds would not be answered within the run
+        while (time < DURATION_MILLIS - 3_000) {
+            boolean burst = kind.priority() == 2 && time >= BURST_BEGIN_MILLIS && time < BURST_END_MILLIS;
+            double perMilli = kind.perSecond() * scenario.workers() * (burst ? scenario.burst() : 1) / 1_000;
+            time += -Math.log(1 - random.nextDouble()) / perMilli;
+            long arrival = Math.round(time);
+            ModelRequest request = request(kind, arrival);
+            at(arrival, () -> {
+                count(request).asked++;
+                way.submit(request, nowMillis);
+            });
+            at(arrival + kind.deadlineMillis(), () -> giveUp(request));
+        }
+    }
+
+    private void giveUp(ModelRequest request) {
+        if (request.ended || request.firstEventMillis >= 0) {
+            return;
+        }
+        request.ended = true;
+        count(request).lost++;
+        Integer worker = workerOf.remove(request);
+        if (worker != null) {
+            engines.get(worker).remove(request);
+            way.onEnd(request, worker, false, nowMillis);
+        }
+    }
+
+    private ModelRequest request(RequestKind kind, long arrivalMillis) {
+        int prefixes = Math.max(1, (int) Math.round(kind.prefixes() * scenario.workers()));
+        int prefix = random.nextInt(prefixes);
+        Random sizes = new Random(31L * prefix + kind.priority());
+        int prefixTokens = size(kind.prefixTokens(), 0.7, 3, sizes);
+        int ownTokens = size(kind.ownTokens(), 1.1, 14, random);
+        return new ModelRequest(
+                kind,
+                random.nextInt(scenario.nodes()),
+                arrivalMillis,
+                new PromptShape(1_000_000L * (kind.priority() + 1) + prefix, prefixTokens, prefixTokens + ownTokens),
+                size(kind.generatedTokens(), 1.0, 4, random));
+    }
+
+    /** Draws a log-normal size with the given mean and spread, cut at a multiple of the mean. */
+    private static int size(int mean, double spread, int cut, Random source) {
+        double drawn = mean * Math.exp(spread * source.nextGaussian() - spread * spread / 2);
+        return (int) Math.max(1, Math.min(cut * (double) mean, drawn));
+    }
+}
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/CachedSegments.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/CachedSegments.java
@@ -14,6 +14,9 @@
      */
     private static final long RETENTION_MILLIS = 30_000;
 
+    /** How long a segment may be read, in milliseconds: longer than the longest prompts take. */
+    private static final long MAX_READING_MILLIS = 1_500;
+
     /** The maximum number of segments tracked per worker: more than a worker's KV cache holds. */
     private static final int MAX_SEGMENTS = 4_096;
 
@@ -77,6 +80,18 @@
         return contains(prefixHash, nowMillis) && (nowMillis < allCachedUntilMillis || read.contains(prefixHash));
     }
 
+    /**
+     * Returns whether the worker is reading a segment: it has been sent a request with it lately, and not read it yet.
+     *
+     * @param prefixHash the prefix hash of a prompt
+     * @param nowMillis the current time, in milliseconds
+     * @return false after {@link #MAX_READING_MILLIS}, since the request may have been cancelled
+     */
+    public boolean isBeingRead(long prefixHash, long nowMillis) {
+        Long lastUsed = lastUsedMillis.get(prefixHash);
+        return lastUsed != null && nowMillis - lastUsed <= MAX_READING_MILLIS && !read.contains(prefixHash);
+    }
+
     /**
      * Returns whether a segment is presumed to be cached, or will be before a request that is sent now is read.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -36,6 +36,9 @@
      */
     private static final double PROMPT_KV_SHARE = 0.6;
 
+    /** The size from which a prefix is not read a second time while a first worker reads it, in tokens. */
+    private static final int MIN_TOKENS_READ_ONCE = 2_000;
+
     @Override
     public Optional<Choice> choose(ChoiceRequest request, Collection<UpstreamState> workers) {
         List<UpstreamState> available = available(request, workers);
@@ -49,10 +52,33 @@
         if (inTime(request, expectedMillis(request, first))) {
             return Optional.of(first);
         }
+        return spill(request, available, prefix);
+    }
+
+    /**
+     * Chooses among all workers: those that have the prefix or are reading it first. A prefix that is being read is not
+     * read a second time; the request waits until it can be copied.
+     */
+    private static Optional<Choice> spill(ChoiceRequest request, List<UpstreamState> available, Prefix prefix) {
+        Optional<Choice> holder = fastest(request, available, prefix, true);
+        if (holder.isPresent() && inTime(request, expectedMillis(request, holder.get()))) {
+            return holder;
+        }
+        if (prefix.source().isEmpty() && prefix.beingRead()) {
+            return Optional.empty();
+        }
+        return fastest(request, available, prefix, false)
+                .filter(choice -> inTime(request, expectedMillis(request, choice)) || idle(request, choice.worker()));
+    }
+
+    private static Optional<Choice> fastest(
+            ChoiceRequest request, List<UpstreamState> available, Prefix prefix, boolean onlyHolders) {
+        Comparator<UpstreamState> byRank = byRank(request);
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
         for (UpstreamState worker : available) {
-            if (worker.lane() != request.lane() && request.lane() != Lane.SENSITIVE) {
+            boolean maySpillOver = worker.lane() == request.lane() || request.lane() == Lane.SENSITIVE;
+            if (!maySpillOver || onlyHolders && !holds(request, worker)) {
                 continue;
             }
             Choice choice = choice(request, worker, prefix);
@@ -64,8 +90,11 @@
                 bestMillis = millis;
             }
         }
-        boolean shouldSend = best != null && (inTime(request, bestMillis) || idle(request, best.worker()));
-        return shouldSend ? Optional.of(best) : Optional.empty();
+        return Optional.ofNullable(best);
+    }
+
+    private static boolean holds(ChoiceRequest request, UpstreamState worker) {
+        return worker.cachedSegments().contains(request.prompt().prefixHash(), request.nowMillis());
     }
 
     private static boolean idle(ChoiceRequest request, UpstreamState worker) {
@@ -104,16 +133,20 @@
      *
      * @param home the first worker by rendezvous hashing, regardless of its load
      * @param source a worker that has read the prefix, empty if none is known
+     * @param beingRead whether a worker is reading the prefix, which is so long that it should be read once
      */
-    private record Prefix(UpstreamState home, Optional<UpstreamState> source) {}
+    private record Prefix(UpstreamState home, Optional<UpstreamState> source, boolean beingRead) {}
 
     private static Prefix prefix(ChoiceRequest request, Collection<UpstreamState> workers, UpstreamState home) {
+        long prefixHash = request.prompt().prefixHash();
+        boolean beingRead = false;
         for (UpstreamState worker : workers) {
-            if (worker.cachedSegments().hasRead(request.prompt().prefixHash(), request.nowMillis())) {
-                return new Prefix(home, Optional.of(worker));
+            if (worker.cachedSegments().hasRead(prefixHash, request.nowMillis())) {
+                return new Prefix(home, Optional.of(worker), false);
             }
+            beingRead |= worker.cachedSegments().isBeingRead(prefixHash, request.nowMillis());
         }
-        return new Prefix(home, Optional.empty());
+        return new Prefix(home, Optional.empty(), beingRead && request.prompt().prefixTokens() >= MIN_TOKENS_READ_ONCE);
     }
 
     /** Returns whether the prompt would evict cached prefix segments. An idle worker accepts a prompt of any size. */
@@ -150,8 +183,7 @@
         String reason = worker.equals(home) ? "home" : "spill";
         int sharedTokens = request.prompt().prefixTokens();
         long unsharedTokens = request.prompt().tokens() - sharedTokens;
-        boolean cached = worker.cachedSegments().contains(request.prompt().prefixHash(), request.nowMillis());
-        if (sharedTokens == 0 || cached) {
+        if (sharedTokens == 0 || holds(request, worker)) {
             return new Choice(worker, unsharedTokens, Optional.empty(), reason);
         }
         if (prefix.source().isPresent()) {
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -137,7 +137,7 @@
         ChoiceRequest request = request("part", 13_000, 3_700, Lane.TOLERANT, 1_000);
         UpstreamState home =
                 new PrefixChooser().choose(request, workers).orElseThrow().worker();
-        home.cachedSegments().recordUse(request.prompt().prefixHash(), 0);
+        home.cachedSegments().recordRead(request.prompt().prefixHash(), 0);
         home.started(200_000, 200_000);
         UpstreamChooser.Choice spilled =
                 new PrefixChooser().choose(request, workers).orElseThrow();
--- /dev/null
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -0,0 +1,258 @@
+package io.lagoonseam.core.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.lagoonseam.core.forward.Lane;
+import io.lagoonseam.core.forward.LatencyLanes;
+import io.lagoonseam.core.forward.LeastLoadedChooser;
+import io.lagoonseam.core.forward.OutlierDetector;
+import io.lagoonseam.core.forward.PrefixChooser;
+import io.lagoonseam.core.forward.PromptShape;
+import io.lagoonseam.core.forward.ServiceWorkers;
+import io.lagoonseam.core.forward.UpstreamRecord;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.WorkerDemand;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.testng.annotations.Test;
+
+/** Tests the decisions of a home about the requests of many nodes. */
+public class PlacementHomeTest {
+
+    private static final int SLOTS = 12;
+
+    private static PlacementHome home(int workers) {
+        ServiceWorkers set = new ServiceWorkers(new PrefixChooser(), new LeastLoadedChooser(1));
+        set.modelEngine(true);
+        for (int index = 0; index < workers; index++) {
+            UpstreamRecord record =
+                    new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", SLOTS, false, 1);
+            set.workers().put(record.id(), set.newState(record));
+        }
+        LatencyLanes.assignWorkers(set.workers().values());
+        return new PlacementHome(set);
+    }
+
+    private static PlacementRequest digest(long number, long prefix, long nowMillis) {
+        WorkerDemand demand = new WorkerDemand(
+                new PromptShape(prefix, 13_000, 16_700), Lane.TOLERANT, 1_200, nowMillis + 1_200, "a", Set.of());
+        return new PlacementRequest(new PlacementKey("n" + number % 95, number), 2, demand, nowMillis + 420);
+    }
+
+    private static PlacementRequest tip(long number, int priority, long nowMillis) {
+        WorkerDemand demand =
+                new WorkerDemand(new PromptShape(7, 350, 1_400), Lane.SENSITIVE, 250, nowMillis + 250, "a", Set.of());
+        return new PlacementRequest(new PlacementKey("n" + number % 95, number), priority, demand, nowMillis + 90);
+    }
+
+    private static PlacementDecision.Granted granted(PlacementDecision decision) {
+        assertTrue(decision instanceof PlacementDecision.Granted, "got " + decision);
+        return (PlacementDecision.Granted) decision;
+    }
+
+    /**
+     * Cold workers and a burst of requests for few prefixes: nodes that decide alone read each prefix at many workers.
+     */
+    public static class ColdBurst {
+
+        @Test
+        public void aPrefixThatIsBeingReadIsNotCopied() {
+            PlacementHome home = home(20);
+            for (long number = 0; number < 400; number++) {
+                PlacementDecision decision = home.submit(digest(number, number % 10, 0), 0);
+                if (decision instanceof PlacementDecision.Granted grant) {
+                    assertEquals(grant.copyFromId(), grant.reason().endsWith("ask") ? grant.copyFromId() : "");
+                }
+            }
+        }
+
+        /** Requests that the reader cannot serve in time wait until others can copy the prefix from it. */
+        @Test
+        public void aPrefixIsReadByOneWorkerAndCopiedThen() {
+            PlacementHome home = home(20);
+            Set<String> readers = new HashSet<>();
+            PlacementKey first = null;
+            int waiting = 0;
+            for (long number = 1; number <= 20; number++) {
+                PlacementRequest request = digest(number, 5, 0);
+                if (home.submit(request, 0) instanceof PlacementDecision.Granted grant) {
+                    readers.add(grant.workerId());
+                    first = first == null ? request.key() : first;
+                } else {
+                    waiting++;
+                }
+            }
+            assertEquals(readers.size(), 1);
+            assertTrue(waiting > 5, waiting + " requests wait");
+            home.recordFirstEvent(first, 130, 130);
+            List<PlacementHome.LateDecision> decisions = home.dispatch(130);
+            assertEquals(decisions.size(), waiting);
+            for (PlacementHome.LateDecision late : decisions) {
+                PlacementDecision.Granted grant = granted(late.decision());
+                assertTrue(readers.contains(grant.workerId())
+                        || readers.contains(grant.copyFromId())
+                        || grant.copyFromId().isEmpty());
+                assertTrue(grant.unreadTokens() <= 3_700, "reads only its own part: " + grant.unreadTokens());
+            }
+        }
+
+        /** The first request may have been cancelled before it was read. */
+        @Test
+        public void aPrefixThatIsNeverReadDoesNotHoldUpOthersForLong() {
+            PlacementHome home = home(20);
+            PlacementRequest cancelled = digest(1, 5, 0);
+            UpstreamState reader = home.workers()
+                    .workers()
+                    .get(granted(home.submit(cancelled, 0)).workerId());
+            home.recordEnd(cancelled.key());
+            reader.started(150_000, 150_000);
+            assertTrue(home.submit(digest(2, 5, 1_400), 1_400) instanceof PlacementDecision.Queued);
+            granted(home.submit(digest(3, 5, 1_600), 1_600));
+        }
+
+        @Test
+        public void noWorkerIsGivenMoreThanItsSlots() {
+            PlacementHome home = home(5);
+            for (long number = 0; number < 1_000; number++) {
+                home.submit(tip(number, 0, 0), 0);
+            }
+            for (UpstreamState worker : home.workers().workers().values()) {
+                assertTrue(worker.ownInFlight() <= SLOTS);
+            }
+            assertTrue(home.queuedRequests() > 0);
+        }
+    }
+
+    /** A fleet whose places are taken. */
+    public static class FullFleet {
+
+        private static List<PlacementKey> fill(PlacementHome home) {
+            List<PlacementKey> placed = new ArrayList<>();
+            for (long number = 1; ; number++) {
+                PlacementRequest request = tip(number, 1, 0);
+                if (!(home.submit(request, 0) instanceof PlacementDecision.Granted)) {
+                    home.recordEnd(request.key());
+                    return placed;
+                }
+                placed.add(request.key());
+                home.recordFirstEvent(request.key(), 30, 0);
+            }
+        }
+
+        @Test
+        public void aFreePlaceGoesToTheMostUrgentRequestOfAllNodes() {
+            PlacementHome home = home(3);
+            List<PlacementKey> placed = fill(home);
+            assertTrue(home.submit(tip(9_001, 2, 0), 0) instanceof PlacementDecision.Queued);
+            assertTrue(home.submit(tip(9_002, 0, 0), 0) instanceof PlacementDecision.Queued);
+            home.recordEnd(placed.get(0));
+            assertTrue(home.dispatchDue());
+            List<PlacementHome.LateDecision> decisions = home.dispatch(10);
+            assertEquals(decisions.size(), 1);
+            assertEquals(decisions.get(0).key().number(), 9_002);
+        }
+
+        @Test
+        public void aRequestThatCannotBeginInTimeIsRefusedWithTheBacklog() {
+            PlacementHome home = home(3);
+            fill(home);
+            for (long number = 9_000; number < 9_200; number++) {
+                home.submit(tip(number, 1, 0), 0);
+            }
+            List<PlacementHome.LateDecision> decisions = home.dispatch(91);
+            assertEquals(decisions.size(), 200);
+            for (PlacementHome.LateDecision late : decisions) {
+                assertTrue(late.decision() instanceof PlacementDecision.Refused);
+            }
+            assertEquals(home.queuedRequests(), 0);
+        }
+
+        @Test
+        public void aWithdrawnRequestGetsNoPlace() {
+            PlacementHome home = home(3);
+            List<PlacementKey> placed = fill(home);
+            PlacementRequest waiting = tip(9_001, 0, 0);
+            home.submit(waiting, 0);
+            home.recordEnd(waiting.key());
+            home.recordEnd(placed.get(0));
+            assertEquals(home.dispatch(10), List.of());
+            assertEquals(home.queuedRequests(), 0);
+        }
+    }
+
+    /** Nodes that end, homes that begin, and reports that arrive twice or late. */
+    public static class SoftState {
+
+        @Test
+        public void theRequestsOfANodeThatEndsAreForgotten() {
+            PlacementHome home = home(3);
+            LongStream.range(0, 190).forEach(number -> home.submit(tip(number, 0, 0), 0));
+            int before = home.placedRequests() + home.queuedRequests();
+            home.dropNode("n7");
+            assertEquals(home.placedRequests() + home.queuedRequests(), before - 2);
+        }
+
+        @Test
+        public void aNewHomeCountsWhatNodesHaveInFlight() {
+            PlacementHome home = home(3);
+            for (long number = 0; number < SLOTS; number++) {
+                home.recordPlaced(new PlacementKey("n1", number), "w0", 7, 1_400, 1_000, 0);
+                home.recordPlaced(new PlacementKey("n1", number), "w0", 7, 1_400, 1_000, 0);
+            }
+            UpstreamState worker = home.workers().workers().get("w0");
+            assertEquals(worker.ownInFlight(), SLOTS);
+            assertEquals(worker.ownPendingTokens(), SLOTS * 1_000L);
+            home.retain("n1", Set.of(3L, 4L));
+            assertEquals(worker.ownInFlight(), 2);
+        }
+
+        @Test
+        public void reportsThatArriveTwiceCountOnce() {
+            PlacementHome home = home(3);
+            PlacementRequest request = tip(1, 0, 0);
+            UpstreamState worker = home.workers()
+                    .workers()
+                    .get(granted(home.submit(request, 0)).workerId());
+            home.recordFirstEvent(request.key(), 40, 40);
+            home.recordFirstEvent(request.key(), 40, 40);
+            home.recordEnd(request.key());
+            home.recordEnd(request.key());
+            home.recordFirstEvent(request.key(), 40, 40);
+            assertEquals(worker.ownInFlight(), 0);
+            assertEquals(worker.ownPendingTokens(), 0);
+        }
+
+        /** A node whose links are broken finds each worker silent; that must not take the workers from all others. */
+        @Test
+        public void oneNodeAloneDoesNotMakeAWorkerSilent() {
+            PlacementHome home = home(3);
+            UpstreamState worker = home.workers().workers().get("w1");
+            for (int report = 0; report < 3; report++) {
+                home.recordOutcome("w1", "n1", OutlierDetector.Outcome.SILENT, report);
+            }
+            assertFalse(worker.outlierDetector().ejected());
+            home.recordOutcome("w1", "n2", OutlierDetector.Outcome.SILENT, 4);
+            home.recordOutcome("w1", "n3", OutlierDetector.Outcome.SILENT, 5);
+            assertTrue(worker.outlierDetector().ejected());
+        }
+
+        @Test
+        public void aWorkerThatHasLeftIsNotGranted() {
+            PlacementHome home = home(3);
+            Optional<String> leaving =
+                    home.workers().workers().keySet().stream().findFirst();
+            home.workers().workers().remove(leaving.orElseThrow());
+            for (long number = 0; number < 20; number++) {
+                if (home.submit(tip(number, 0, 0), 0) instanceof PlacementDecision.Granted grant) {
+                    assertFalse(grant.workerId().equals(leaving.get()));
+                }
+            }
+        }
+    }
+}
