Let the lanes of a home follow the load

Cause: a third of the workers is kept for sensitive requests while a burst of long prompts is most of the work. Change: LaneShare, by the work that arrives in each lane. The model counts lost workers as failed connections.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ExchangeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ExchangeWay.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.experiment.placement;
 
+import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.RequestQueue;
 import io.lagoonseam.core.forward.ServiceWorkers;
 import io.lagoonseam.core.forward.UpstreamChooser;
@@ -151,6 +152,9 @@
         if (entry != null) {
             entry.worker.promptRead(entry.unreadTokens);
             entry.worker.ended(request.prompt.tokens());
+            if (failed) {
+                nodes.get(request.node).workers.observe(entry.worker, OutlierDetector.Outcome.SILENT, nowMillis);
+            }
             dispatch(nodes.get(request.node), nowMillis);
         }
     }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.experiment.placement;
 
+import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.WorkerLoad;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.placement.PlacementHome;
@@ -20,6 +21,7 @@
 
     private static final double WAIT_SHARE = 0.35;
     private static final long DISPATCH_MILLIS = 10;
+    private static final long ASSIGN_MILLIS = 250;
     private static final long NODE_TIMEOUT_MILLIS = 80;
 
     private final Actions actions;
@@ -118,6 +120,9 @@
         while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
             events.poll().action().run();
         }
+        if (nowMillis % ASSIGN_MILLIS == 0) {
+            home.assignLanes();
+        }
         if (nowMillis % DISPATCH_MILLIS == 0 && nowMillis >= homeUpAtMillis && home.queuedRequests() > 0) {
             dispatch(nowMillis);
         }
@@ -150,7 +155,13 @@
         Sent entry = sent.remove(request);
         if (entry != null) {
             requests.remove(entry.number);
-            report(nowMillis, () -> home.recordEnd(key(entry.number, request)));
+            report(nowMillis, () -> {
+                if (failed) {
+                    home.recordOutcome(
+                            ModelWorkers.id(worker), "n" + request.node, OutlierDetector.Outcome.SILENT, nowMillis);
+                }
+                home.recordEnd(key(entry.number, request));
+            });
         }
     }
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
@@ -20,6 +20,9 @@
     private static final long BURST_END_MILLIS = 9_000;
     private static final long LOSS_BEGIN_MILLIS = 2_600;
     private static final long LOSS_END_MILLIS = 6_000;
+    /** The time from a rejection or a failed connection to the next attempt, in milliseconds. */
+    private static final long RETRY_MILLIS = 5;
+
     /** How long after a loss the nodes know of it, in milliseconds. */
     private static final long NOTICE_MILLIS = 300;
 
@@ -125,10 +128,11 @@
             return;
         }
         EngineModel source = copyFrom < 0 ? null : engines.get(copyFrom);
-        if (!engines.get(worker).add(request, source)) {
-            rejected++;
-            way.onEnd(request, worker, true, nowMillis);
-            way.submit(request, nowMillis);
+        EngineModel engine = engines.get(worker);
+        if (!engine.add(request, source)) {
+            rejected += engine.up ? 1 : 0;
+            way.onEnd(request, worker, !engine.up, nowMillis);
+            at(nowMillis + RETRY_MILLIS, () -> way.submit(request, nowMillis));
             return;
         }
         workerOf.put(request, worker);
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
@@ -55,14 +55,24 @@
     }
 
     /**
-     * Assigns the workers of a service to lanes.
+     * Assigns the workers of a service to lanes, with a fixed share for each.
      *
      * @param workers all workers of the service that accept new requests
      */
     public static void assignWorkers(Collection<UpstreamState> workers) {
+        assignWorkers(workers, SENSITIVE_WORKER_SHARE);
+    }
+
+    /**
+     * Assigns the workers of a service to lanes. If the share changes, as few workers as possible change their lane.
+     *
+     * @param workers all workers of the service that accept new requests
+     * @param sensitiveShare the share of workers for sensitive requests
+     */
+    public static void assignWorkers(Collection<UpstreamState> workers, double sensitiveShare) {
         List<UpstreamState> ordered = new ArrayList<>(workers);
         ordered.sort(Comparator.comparingLong(worker -> Rendezvous.mix(LANE_HASH, worker.hash())));
-        long sensitive = ordered.size() < 2 ? 0 : Math.max(1, Math.round(SENSITIVE_WORKER_SHARE * ordered.size()));
+        long sensitive = ordered.size() < 2 ? 0 : Math.max(1, Math.round(sensitiveShare * ordered.size()));
         for (int index = 0; index < ordered.size(); index++) {
             ordered.get(index).lane(index < sensitive ? Lane.SENSITIVE : Lane.TOLERANT);
         }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.core.placement;
 
 import io.lagoonseam.core.forward.Lane;
+import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.RequestQueue;
 import io.lagoonseam.core.forward.ServiceWorkers;
@@ -28,6 +29,7 @@
     private final Map<PlacementKey, PlacementRequest> queued = new HashMap<>();
     private final Map<PlacementKey, Placement> placements = new HashMap<>();
     private final Map<String, Set<PlacementKey>> keysByNode = new HashMap<>();
+    private final LaneShare laneShare = new LaneShare();
     private final Map<String, String> lastSilentNode = new HashMap<>();
     private double queuedTokens;
     private boolean changed;
@@ -94,6 +96,10 @@
      */
     public PlacementDecision submit(PlacementRequest request, long nowMillis) {
         Optional<PlacementDecision> granted = place(request, nowMillis);
+        long unreadTokens = granted.isPresent() && granted.get() instanceof PlacementDecision.Granted found
+                ? found.unreadTokens()
+                : unsharedTokens(request);
+        laneShare.observe(request.demand().lane(), unreadTokens, nowMillis);
         if (granted.isPresent()) {
             return granted.get();
         }
@@ -310,6 +316,12 @@
     /** Records that the workers have changed, so that queued requests may find a place. */
     public void workersChanged() {
         changed = true;
+        assignLanes();
+    }
+
+    /** Assigns the workers to lanes by the work that has arrived lately; called several times a second. */
+    public void assignLanes() {
+        LatencyLanes.assignWorkers(workers.workers().values(), laneShare.sensitiveShare());
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
@@ -2,7 +2,6 @@
 
 import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.audit.EventCode;
-import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.ServiceWorkers;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
@@ -267,8 +266,9 @@
         }
         changed |= workers.keySet().retainAll(present);
         if (changed) {
-            LatencyLanes.assignWorkers(workers.values());
             served.home.workersChanged();
+        } else {
+            served.home.assignLanes();
         }
     }
 
