--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -313,6 +313,7 @@
             queue.workers().observePrompt(request.lane(), request.prompt().tokens(), found.unreadTokens());
             request.send(
                     found,
+                    DecidedBy.NODE,
                     found.worker().pendingTokens(nowMillis),
                     placement == null
                             ? Placement.NONE
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -218,7 +218,7 @@
             granting.ended();
             dispatcher.submitLocally(this, queueDeadlineMillis);
         } else {
-            send(choice.get(), granted.tokensAhead(), granting);
+            send(choice.get(), DecidedBy.HOME, granted.tokensAhead(), granting);
         }
     }
 
@@ -236,10 +236,11 @@
      * Sends the request to the chosen worker.
      *
      * @param choice the choice
+     * @param decidedBy who has made it
      * @param tokensBefore the unread prompt tokens of other requests at the worker
      * @param granting receives what becomes of the request
      */
-    void send(UpstreamChooser.Choice choice, long tokensBefore, Placement granting) {
+    void send(UpstreamChooser.Choice choice, DecidedBy decidedBy, long tokensBefore, Placement granting) {
         queued = false;
         placement = granting;
         worker = choice.worker();
@@ -252,7 +253,7 @@
             worker.cachedSegments().recordUse(prompt().prefixHash(), nowMillis());
         }
         triedWorkers.add(worker.record().id());
-        log.sent(choice, triedWorkers.size(), tokensAhead, lastEventId);
+        log.sent(choice, decidedBy, triedWorkers.size(), tokensAhead, lastEventId);
         answer = null;
         bufferedBody = Buffer.buffer();
         splitter = new EventSplitter(lastEventId);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -58,13 +58,15 @@
         recordDecision(EventCode.REQUEST_WAITS, "longest_ms", maxWaitMillis);
     }
 
-    void sent(UpstreamChooser.Choice choice, int attempt, long tokensAhead, String lastEventId) {
+    void sent(UpstreamChooser.Choice choice, DecidedBy decidedBy, int attempt, long tokensAhead, String lastEventId) {
         recordDecision(
                 EventCode.REQUEST_SENT,
                 "worker",
                 choice.worker().record().id(),
                 "reason",
                 choice.reason(),
+                "decided_by",
+                decidedBy.name().toLowerCase(Locale.ROOT),
                 "attempt",
                 attempt,
                 "tokens_to_read",
