--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -62,6 +62,7 @@
     private final UpstreamChooser plainChooser;
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
     private PlacementClient placement;
+    private Runnable onWork = () -> {};
     private RoutingConfiguration configuration;
     private int nodeCount = 1;
 
@@ -75,6 +76,20 @@
                 new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
     }
 
+    /**
+     * Sets what to call when a request has been queued at this node.
+     *
+     * @param value causes calls of {@link #dispatchQueued} as long as {@link #hasQueued} returns true
+     */
+    void onWork(Runnable value) {
+        this.onWork = value;
+    }
+
+    /** Returns whether requests are queued at this node. */
+    boolean hasQueued() {
+        return queues.values().stream().anyMatch(queue -> queue.queuedRequests().size() > 0);
+    }
+
     /** Sets the client that asks homes for workers. */
     void placement(PlacementClient value) {
         this.placement = value;
@@ -302,6 +317,7 @@
             queue.queuedRequests().dispatch(queued -> dispatch(queue, queued));
         }
         if (request.queued()) {
+            onWork.run();
             request.onQueued();
         }
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -69,6 +69,7 @@
     private final ForwardStateExchange exchange;
     private final HomeServer homes;
     private final PlacementClient placement;
+    private final DispatchTicker ticker;
     private final VertxPeerTransport transport;
     private final List<CollectionFollower> followers;
     private final List<Long> timers = new ArrayList<>();
@@ -145,6 +146,14 @@
             return CompletableFuture.completedFuture(new byte[0]);
         });
         dispatcher.placement(placement);
+        this.ticker = new DispatchTicker(
+                vertx,
+                DISPATCH_INTERVAL_MILLIS,
+                this::onDispatch,
+                () -> dispatcher.hasQueued() || placement.busy() || homes.queuedRequests() > 0);
+        dispatcher.onWork(ticker::wake);
+        placement.onWork(ticker::wake);
+        homes.onWork(ticker::wake);
         metrics.gauge("homes.candidates", () -> nodes.capacities().size());
         metrics.gauge("homes.served", homes::homes);
         metrics.gauge("homes.requests_waiting", homes::queuedRequests);
@@ -205,7 +214,6 @@
                         ? operations.listen(metricsAddress.get()).mapEmpty()
                         : Future.<Void>succeededFuture())
                 .onSuccess(nothing -> {
-                    timers.add(vertx.setPeriodic(DISPATCH_INTERVAL_MILLIS, timer -> onDispatch()));
                     timers.add(vertx.setPeriodic(EXCHANGE_INTERVAL_MILLIS, timer -> onExchange()));
                     timers.add(vertx.setPeriodic(CLEANUP_INTERVAL_MILLIS, timer -> onCleanup()));
                     environment
@@ -231,6 +239,7 @@
     private void onExchange() {
         homes.refresh();
         placement.probe();
+        ticker.wake();
         nodes.checkNodes();
         exchange.broadcast();
         dispatcher.ejectFailing();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
@@ -123,6 +123,10 @@
         return service;
     }
 
+    boolean busy() {
+        return !waiting.isEmpty() || !unanswered.isEmpty() || reportsSinceMillis != Long.MAX_VALUE;
+    }
+
     int waitingRequests() {
         return waiting.size();
     }
@@ -202,6 +206,7 @@
 
     private void reportLater() {
         reportsSinceMillis = Math.min(reportsSinceMillis, nowMillis());
+        client.wake();
     }
 
     private void send(List<Ask> asks) {
@@ -237,6 +242,7 @@
         lastBatch++;
         long number = lastBatch;
         unanswered.put(number, ticks);
+        client.wake();
         client.channel().send(to, batch, reply -> onReply(to, number, reply));
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
@@ -40,8 +40,10 @@
     /** How long a node may send nothing before its requests are forgotten, in milliseconds. */
     private static final long NODE_TIMEOUT_MILLIS = 1_500;
 
-    /** A pause of this process after which its knowledge is out of date, in milliseconds: some requests long. */
-    private static final long MAX_STALL_MILLIS = 500;
+    /**
+     * A pause of this process after which its knowledge is out of date, in milliseconds: some ticks of an idle home.
+     */
+    private static final long MAX_STALL_MILLIS = 900;
 
     /** The longest time between two attempts to place queued requests although nothing has changed, in milliseconds. */
     private static final long DISPATCH_INTERVAL_MILLIS = 50;
@@ -65,6 +67,7 @@
     private BiConsumer<String, Decisions> ownDecisions = (home, decisions) -> {};
     private long lastTickMillis;
     private long lastTickWallMillis;
+    private Runnable onWork = () -> {};
     private boolean stopped;
 
     /** The home of one service at this node. */
@@ -135,6 +138,15 @@
         this.ownDecisions = value;
     }
 
+    /**
+     * Sets what to call when requests wait.
+     *
+     * @param value causes calls of {@link #tick} as long as {@link #queuedRequests} is not 0
+     */
+    public void onWork(Runnable value) {
+        this.onWork = value;
+    }
+
     /**
      * Handles a batch of a node.
      *
@@ -168,6 +180,9 @@
                     new PlacementKey(sender, ask.number()), ask.priority(), demand, nowMillis + ask.waitMillis());
             decisions.add(new Decided(ask.number(), home.submit(request, nowMillis)));
         }
+        if (home.queuedRequests() > 0) {
+            onWork.run();
+        }
         return new Decisions(batch.service(), served.session, decisions);
     }
 
@@ -208,7 +223,7 @@
         batch.ended().forEach(number -> home.recordEnd(new PlacementKey(sender, number)));
     }
 
-    /** Dispatches queued requests where that is due; called every 10 ms. */
+    /** Dispatches queued requests where that is due; called every 10 ms while requests wait, else every 250 ms. */
     public void tick() {
         checkStall();
         long nowMillis = time.monotonicMillis();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/PlacementClient.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/PlacementClient.java
@@ -28,6 +28,7 @@
     private final Map<String, HomeLink> links = new HashMap<>();
     private final Map<String, List<String>> rankings = new HashMap<>();
     private Map<String, Integer> rankedCapacities = Map.of();
+    private Runnable onWork = () -> {};
     private long fallbacks;
 
     /**
@@ -47,6 +48,24 @@
         this.capacities = capacities;
     }
 
+    /**
+     * Sets what to call when {@link #tick} has something to do.
+     *
+     * @param value causes calls of it as long as {@link #busy} returns true
+     */
+    public void onWork(Runnable value) {
+        this.onWork = value;
+    }
+
+    /** Returns whether {@link #tick} has something to do soon. */
+    public boolean busy() {
+        return links.values().stream().anyMatch(HomeLink::busy);
+    }
+
+    void wake() {
+        onWork.run();
+    }
+
     private List<String> ranking(String service) {
         Map<String, Integer> current = capacities.get();
         if (!current.equals(rankedCapacities)) {
@@ -109,7 +128,7 @@
         return link(service).recordOwnDecision(workerId, prompt, unreadTokens);
     }
 
-    /** Sends reports that are due and gives up on homes that do not decide; called every 10 ms. */
+    /** Sends reports that are due and gives up on homes that do not decide; called every 10 ms while {@link #busy}. */
     public void tick() {
         List.copyOf(links.values()).forEach(HomeLink::tick);
     }
