Presume prefixes cached at a home that begins after a restart of all nodes

Cause: read; after a loss of all nodes no node has had a home before, so a new home took all prefixes for unread although workers had kept them.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
@@ -59,6 +59,7 @@
     private final DecisionLog log;
     private final PeerTransport transport;
     private final String ownId;
+    private final boolean firstStart;
     private final Supplier<ServiceWorkers> workersFactory;
     private final BiConsumer<String, ServiceWorkers> configurer;
     private final Supplier<List<UpstreamRecord>> serving;
@@ -94,9 +95,16 @@
      * @param log the log
      * @param transport the transport between nodes
      * @param ownId the id of this node
+     * @param firstStart whether the deployment as a whole starts for the first time, so that no prefix can be cached
      */
     public record Environment(
-            Vertx vertx, TimeSource time, Random random, DecisionLog log, PeerTransport transport, String ownId) {}
+            Vertx vertx,
+            TimeSource time,
+            Random random,
+            DecisionLog log,
+            PeerTransport transport,
+            String ownId,
+            boolean firstStart) {}
 
     /**
      * Creates a server without homes.
@@ -119,6 +127,7 @@
         this.log = environment.log();
         this.transport = environment.transport();
         this.ownId = environment.ownId();
+        this.firstStart = environment.firstStart();
         this.workersFactory = workersFactory;
         this.configurer = configurer;
         this.serving = serving;
@@ -190,7 +199,8 @@
         log.record(
                 EventCode.HOME_BEGUN,
                 service + (batch.servedBefore() ? " follows another home" : " is the first home"));
-        long assumedUntilMillis = batch.servedBefore() ? nowMillis + ASSUMED_CACHE_MILLIS : Long.MIN_VALUE;
+        boolean mayBeCached = batch.servedBefore() || !firstStart;
+        long assumedUntilMillis = mayBeCached ? nowMillis + ASSUMED_CACHE_MILLIS : Long.MIN_VALUE;
         ServedHome served = new ServedHome(new PlacementHome(workersFactory.get()), newSession(), assumedUntilMillis);
         refresh(service, served);
         return served;
