Do not refuse urgent requests for the sake of less urgent ones

Cause: a sensitive request that would be late everywhere was refused while long prompts began, which is shedding urgent for a lower tier. Change: a home places it late on the fastest worker if less urgent requests were placed in the last second, and refused sensitive requests raise their lane's share.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/EngineModel.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/EngineModel.java
@@ -41,7 +41,7 @@
     private static final class Run {
         private final ModelRequest request;
         private final EngineModel copyFrom;
-        private final long order;
+        final long order;
         private boolean admitted;
         private int unread;
         private int generated;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -14,6 +14,7 @@
  *     choice
  * @param excludedWorkers the ids of the workers that must not be selected, usually those that the request was sent to
  *     before
+ * @param acceptsLate whether the fastest worker is to be chosen even if the objective will be missed there
  * @param nowMillis the current time, in milliseconds
  */
 public record ChoiceRequest(
@@ -24,6 +25,7 @@
         String dataCentre,
         long kvCapacityTokens,
         Set<String> excludedWorkers,
+        boolean acceptsLate,
         long nowMillis) {
 
     /** Makes an immutable copy of the set. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -64,11 +64,13 @@
         if (holder.isPresent() && inTime(request, expectedMillis(request, holder.get()))) {
             return holder;
         }
-        if (prefix.source().isEmpty() && prefix.beingRead()) {
+        if (prefix.source().isEmpty() && prefix.beingRead() && !request.acceptsLate()) {
             return Optional.empty();
         }
         return fastest(request, available, prefix, false)
-                .filter(choice -> inTime(request, expectedMillis(request, choice)) || idle(request, choice.worker()));
+                .filter(choice -> request.acceptsLate()
+                        || inTime(request, expectedMillis(request, choice))
+                        || idle(request, choice.worker()));
     }
 
     private static Optional<Choice> fastest(
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
@@ -138,17 +138,38 @@
      * @return the choice, or empty if the request should wait
      */
     public Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, long nowMillis) {
+        return choose(demand, false, nowMillis);
+    }
+
+    /**
+     * Chooses a worker for a request as {@link #choose(WorkerDemand, long)} does, but takes the fastest worker with a
+     * free slot if the objective will be missed at all of them.
+     *
+     * @param demand what the request asks
+     * @param nowMillis the current time, in milliseconds
+     * @return the choice, or empty if no worker has a free slot
+     */
+    public Optional<UpstreamChooser.Choice> chooseEvenIfLate(WorkerDemand demand, long nowMillis) {
+        return choose(demand, true, nowMillis);
+    }
+
+    private Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, boolean acceptsLate, long nowMillis) {
         Collection<UpstreamState> candidates = candidates(nowMillis);
-        Optional<UpstreamChooser.Choice> fresh = choose(demand, demand.triedWorkers(), candidates, nowMillis);
+        Optional<UpstreamChooser.Choice> fresh =
+                choose(demand, demand.triedWorkers(), candidates, acceptsLate, nowMillis);
         return fresh.isPresent() || demand.triedWorkers().isEmpty()
                 ? fresh
-                : choose(demand, Set.of(), candidates, nowMillis);
+                : choose(demand, Set.of(), candidates, acceptsLate, nowMillis);
     }
 
     private Optional<UpstreamChooser.Choice> choose(
-            WorkerDemand demand, Set<String> excluded, Collection<UpstreamState> candidates, long nowMillis) {
+            WorkerDemand demand,
+            Set<String> excluded,
+            Collection<UpstreamState> candidates,
+            boolean acceptsLate,
+            long nowMillis) {
         UpstreamChooser chooser = modelEngine ? engineChooser : plainChooser;
-        return chooser.choose(demand.choiceRequest(kvCapacityTokens, excluded, nowMillis), candidates);
+        return chooser.choose(demand.choiceRequest(kvCapacityTokens, excluded, acceptsLate, nowMillis), candidates);
     }
 
     /** Returns the candidates. A paused worker is none, even if there is no other. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
@@ -26,7 +26,8 @@
         triedWorkers = Set.copyOf(triedWorkers);
     }
 
-    ChoiceRequest choiceRequest(long kvCapacityTokens, Set<String> excludedWorkers, long nowMillis) {
+    ChoiceRequest choiceRequest(
+            long kvCapacityTokens, Set<String> excludedWorkers, boolean acceptsLate, long nowMillis) {
         return new ChoiceRequest(
                 prompt,
                 lane,
@@ -35,6 +36,7 @@
                 dataCentre,
                 kvCapacityTokens,
                 excludedWorkers,
+                acceptsLate,
                 nowMillis);
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/LaneShare.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/LaneShare.java
@@ -15,6 +15,11 @@
     private static final double MIN_SHARE = 0.2;
     private static final double MAX_SHARE = 0.4;
 
+    /** What each sensitive request that was refused lately adds to the share, and the most that all of them add. */
+    private static final double SHARE_PER_REFUSAL = 0.02;
+
+    private static final double MAX_SHARE_OF_REFUSALS = 0.2;
+
     /** The reserve of the sensitive lane, which has to meet its objectives while its load varies. */
     private static final double SENSITIVE_RESERVE = 1.6;
 
@@ -30,15 +35,13 @@
     private double sensitiveTokens;
     private double tolerantTokens;
     private double observations;
+    private double sensitiveRefusals;
     private long lastMillis;
 
     /** Records the arrival of a request that has to read the given number of prompt tokens. */
     void observe(Lane lane, long unreadTokens, long nowMillis) {
-        double decay = Math.exp(-Math.max(0, nowMillis - lastMillis) / DECAY_MILLIS);
-        lastMillis = Math.max(lastMillis, nowMillis);
-        sensitiveTokens *= decay;
-        tolerantTokens *= decay;
-        observations = observations * decay + 1;
+        decay(nowMillis);
+        observations++;
         if (lane == Lane.SENSITIVE) {
             sensitiveTokens += unreadTokens + REQUEST_TOKENS;
         } else {
@@ -46,12 +49,30 @@
         }
     }
 
+    /** Records that a request could not begin in time. */
+    void observeRefusal(Lane lane, long nowMillis) {
+        decay(nowMillis);
+        if (lane == Lane.SENSITIVE) {
+            sensitiveRefusals++;
+        }
+    }
+
+    private void decay(long nowMillis) {
+        double decay = Math.exp(-Math.max(0, nowMillis - lastMillis) / DECAY_MILLIS);
+        lastMillis = Math.max(lastMillis, nowMillis);
+        sensitiveTokens *= decay;
+        tolerantTokens *= decay;
+        observations *= decay;
+        sensitiveRefusals *= decay;
+    }
+
     /** Returns the share of the workers that is reserved for sensitive requests. */
     double sensitiveShare() {
         if (observations < MIN_OBSERVATIONS) {
             return INITIAL_SHARE;
         }
         double needed = SENSITIVE_RESERVE * sensitiveTokens / (sensitiveTokens + tolerantTokens);
-        return Math.max(MIN_SHARE, Math.min(MAX_SHARE, needed));
+        double refused = Math.min(MAX_SHARE_OF_REFUSALS, SHARE_PER_REFUSAL * sensitiveRefusals);
+        return Math.max(MIN_SHARE, Math.min(MAX_SHARE, needed)) + refused;
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -24,6 +24,9 @@
  */
 public final class PlacementHome {
 
+    /** How long a placed request counts as lately placed, in milliseconds. */
+    private static final long LESS_URGENT_PLACED_MILLIS = 1_000;
+
     private final ServiceWorkers workers;
     private final RequestQueue<PlacementRequest> queue = new RequestQueue<>();
     private final Map<PlacementKey, PlacementRequest> queued = new HashMap<>();
@@ -31,6 +34,10 @@
     private final Map<String, Set<PlacementKey>> keysByNode = new HashMap<>();
     private final LaneShare laneShare = new LaneShare();
     private final Map<String, String> lastSilentNode = new HashMap<>();
+    /** The lowest priority that was placed lately, and when. */
+    private int lowestPlacedPriority = -1;
+
+    private long lowestPlacedMillis;
     private double queuedTokens;
     private boolean changed;
 
@@ -137,8 +144,12 @@
         });
         for (PlacementRequest expired : queue.expire(nowMillis)) {
             dequeue(expired);
-            forget(expired.key());
-            decisions.add(new LateDecision(expired.key(), refusal(expired, nowMillis)));
+            PlacementDecision decision = placeLate(expired, nowMillis).orElseGet(() -> {
+                forget(expired.key());
+                laneShare.observeRefusal(expired.demand().lane(), nowMillis);
+                return refusal(expired, nowMillis);
+            });
+            decisions.add(new LateDecision(expired.key(), decision));
         }
         return decisions;
     }
@@ -164,10 +175,34 @@
     }
 
     private Optional<PlacementDecision> place(PlacementRequest request, long nowMillis) {
-        Optional<UpstreamChooser.Choice> choice = workers.choose(request.demand(), nowMillis);
+        return place(request, workers.choose(request.demand(), nowMillis), nowMillis);
+    }
+
+    /**
+     * Places a request that can no longer start in time if less urgent ones have been placed lately: a caller is not
+     * refused for the sake of less urgent ones.
+     */
+    private Optional<PlacementDecision> placeLate(PlacementRequest request, long nowMillis) {
+        boolean lessUrgentPlaced = lowestPlacedPriority > request.priority()
+                && nowMillis - lowestPlacedMillis <= LESS_URGENT_PLACED_MILLIS;
+        return lessUrgentPlaced
+                ? place(request, workers.chooseEvenIfLate(request.demand(), nowMillis), nowMillis)
+                : Optional.empty();
+    }
+
+    private void recordPriority(int priority, long nowMillis) {
+        if (priority >= lowestPlacedPriority || nowMillis - lowestPlacedMillis > LESS_URGENT_PLACED_MILLIS) {
+            lowestPlacedPriority = priority;
+            lowestPlacedMillis = nowMillis;
+        }
+    }
+
+    private Optional<PlacementDecision> place(
+            PlacementRequest request, Optional<UpstreamChooser.Choice> choice, long nowMillis) {
         if (choice.isEmpty()) {
             return Optional.empty();
         }
+        recordPriority(request.priority(), nowMillis);
         UpstreamState worker = choice.get().worker();
         long tokensAhead = worker.pendingTokens(nowMillis);
         var prompt = request.demand().prompt();
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -34,7 +34,7 @@
     private static ChoiceRequest request(String prefix, int shared, int own, Lane lane, long objectiveMillis) {
         PromptSegments prompt = new PromptSegments(
                 List.of(new PromptSegments.Segment(prefix, shared), new PromptSegments.Segment("own", own)));
-        return new ChoiceRequest(prompt.shape(), lane, objectiveMillis, objectiveMillis, "a", 0, Set.of(), 0);
+        return new ChoiceRequest(prompt.shape(), lane, objectiveMillis, objectiveMillis, "a", 0, Set.of(), false, 0);
     }
 
     @Test
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -140,6 +140,7 @@
                                         "a",
                                         limitPromptKv ? KV_CAPACITY_TOKENS : 0,
                                         Set.of(),
+                                        false,
                                         nowMillis),
                                 List.of(request.worker));
                 if (choice.isPresent()) {
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -173,6 +173,28 @@
             assertEquals(home.queuedRequests(), 0);
         }
 
+        /** An urgent caller must not be refused while less urgent ones begin, even if it will be late. */
+        @Test
+        public void anUrgentRequestIsPlacedLateRatherThanRefusedForLessUrgentOnes() {
+            PlacementHome home = home(3);
+            for (UpstreamState worker : home.workers().workers().values()) {
+                worker.started(60_000, 60_000);
+            }
+            assertTrue(home.submit(tip(1, 0, 0), 0) instanceof PlacementDecision.Queued);
+            home.submit(digest(2, 5, 50), 50);
+            UpstreamState free = home.workers().workers().values().stream()
+                    .filter(worker -> worker.lane() == Lane.TOLERANT)
+                    .findFirst()
+                    .orElseThrow();
+            free.promptRead(50_000);
+            home.workersChanged();
+            List<PlacementHome.LateDecision> begun = home.dispatch(60);
+            assertEquals(begun.get(0).key().number(), 2);
+            List<PlacementHome.LateDecision> late = home.dispatch(95);
+            assertEquals(late.size(), 1);
+            granted(late.get(0).decision());
+        }
+
         @Test
         public void aWithdrawnRequestGetsNoPlace() {
             PlacementHome home = home(3);
