Divide the workers of a home by the gaps between events, and read urgent prompts first

Replies of 9,000 tokens had the same workers, and tips spilled over to workers that read long prompts without end. Change: at a home, only streams with the shortest gaps have workers of their own and stay there unless they are late anyway; replies go where digests go, and wait for the prompts of their own priority and above only. Where nothing is sensitive, no worker is reserved.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ExchangeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ExchangeWay.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 
 /**
@@ -65,7 +66,8 @@
         if (request.ended) {
             return true;
         }
-        Optional<UpstreamChooser.Choice> choice = node.workers.choose(request.demand(), nowMillis);
+        Optional<UpstreamChooser.Choice> choice =
+                node.workers.choose(request.demand(request.kind.lane(), OptionalInt.empty()), nowMillis);
         choice.ifPresent(found -> {
             UpstreamState worker = found.worker();
             sent.put(request, new Sent(worker, found.unreadTokens(), worker.pendingTokens(nowMillis), nowMillis));
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 
 /**
@@ -85,7 +86,7 @@
                         new PlacementRequest(
                                 key(number, request),
                                 request.kind.priority(),
-                                request.demand(),
+                                request.demand(request.kind.homeLane(), OptionalInt.of(request.kind.priority())),
                                 submittedMillis + waitMillis),
                         nowMillis),
                 nowMillis);
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
@@ -1,7 +1,9 @@
 package io.lagoonseam.bench.experiment.placement;
 
+import io.lagoonseam.core.forward.Lane;
 import io.lagoonseam.core.forward.PromptShape;
 import io.lagoonseam.core.forward.WorkerDemand;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /** One request of a caller in the model. */
@@ -24,8 +26,14 @@
         this.generatedTokens = generatedTokens;
     }
 
-    WorkerDemand demand() {
+    WorkerDemand demand(Lane lane, OptionalInt homePriority) {
         return new WorkerDemand(
-                prompt, kind.lane(), kind.objectiveMillis(), firstMillis + kind.objectiveMillis(), "a", Set.of());
+                prompt,
+                lane,
+                kind.objectiveMillis(),
+                firstMillis + kind.objectiveMillis(),
+                "a",
+                homePriority,
+                Set.of());
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.core.forward;
 
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -14,6 +15,8 @@
  *     choice
  * @param excludedWorkers the ids of the workers that must not be selected, usually those that the request was sent to
  *     before
+ * @param homePriority the priority of the request if a home chooses, which knows what each worker has in flight; empty
+ *     if a node chooses by itself
  * @param acceptsLate whether the fastest worker is to be chosen even if the objective will be missed there
  * @param nowMillis the current time, in milliseconds
  */
@@ -25,6 +28,7 @@
         String dataCentre,
         long kvCapacityTokens,
         Set<String> excludedWorkers,
+        OptionalInt homePriority,
         boolean acceptsLate,
         long nowMillis) {
 
@@ -32,4 +36,12 @@
     public ChoiceRequest {
         excludedWorkers = Set.copyOf(excludedWorkers);
     }
+
+    /**
+     * Returns whether a worker of another lane may be chosen. Streams with the shortest gaps between events miss them
+     * beside long prompts, so a home sends them to another lane only if they are late anyway.
+     */
+    boolean mayLeaveLane() {
+        return lane == Lane.SENSITIVE && (homePriority.isEmpty() || acceptsLate);
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
@@ -25,7 +25,13 @@
 
     private static final long LANE_HASH = Rendezvous.hash("lanes");
 
+    /**
+     * At a home, streams are sensitive if their gap objective is at most this share of the longest of their service.
+     */
+    private static final double SENSITIVE_GAP_SHARE = 0.25;
+
     private final Map<String, Long> longestObjectiveMillis = new HashMap<>();
+    private final Map<String, Long> longestGapMillis = new HashMap<>();
 
     /**
      * Creates the lanes for the routes of a configuration.
@@ -37,6 +43,7 @@
             if (route.kind().stream()) {
                 for (WeightedService service : route.services()) {
                     longestObjectiveMillis.merge(service.service(), route.objectiveMillis(), Math::max);
+                    longestGapMillis.merge(service.service(), route.gapObjectiveMillis(), Math::max);
                 }
             }
         }
@@ -54,6 +61,21 @@
         return route.objectiveMillis() > TOLERANT_SHARE * longest ? Lane.TOLERANT : Lane.SENSITIVE;
     }
 
+    /**
+     * Returns the lane of a route's requests at a service whose home places them. A home knows how long a prompt waits
+     * at each worker, so only streams that long prompts would stretch need workers of their own.
+     *
+     * @param route the route
+     * @param service the name of the service
+     * @return the lane
+     */
+    public Lane homeLane(Route route, String service) {
+        long longest = longestGapMillis.getOrDefault(service, 0L);
+        return route.kind().stream() && route.gapObjectiveMillis() <= SENSITIVE_GAP_SHARE * longest
+                ? Lane.SENSITIVE
+                : Lane.TOLERANT;
+    }
+
     /**
      * Assigns the workers of a service to lanes, with a fixed share for each.
      *
@@ -72,7 +94,8 @@
     public static void assignWorkers(Collection<UpstreamState> workers, double sensitiveShare) {
         List<UpstreamState> ordered = new ArrayList<>(workers);
         ordered.sort(Comparator.comparingLong(worker -> Rendezvous.mix(LANE_HASH, worker.hash())));
-        long sensitive = ordered.size() < 2 ? 0 : Math.max(1, Math.round(sensitiveShare * ordered.size()));
+        boolean divided = ordered.size() >= 2 && sensitiveShare > 0;
+        long sensitive = divided ? Math.max(1, Math.round(sensitiveShare * ordered.size())) : 0;
         for (int index = 0; index < ordered.size(); index++) {
             ordered.get(index).lane(index < sensitive ? Lane.SENSITIVE : Lane.TOLERANT);
         }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -49,7 +49,9 @@
         Prefix prefix = prefix(request, workers, Collections.min(workers, byRank));
         UpstreamState preferred = Collections.min(available, byRank);
         Choice first = choice(request, preferred, prefix);
-        if (inTime(request, expectedMillis(request, first))) {
+        boolean mayPrefer = (request.homePriority().isEmpty() || preferred.lane() == request.lane())
+                && (!prefix.beingRead() || holds(request, preferred));
+        if (mayPrefer && inTime(request, expectedMillis(request, first))) {
             return Optional.of(first);
         }
         return spill(request, available, prefix);
@@ -79,7 +81,7 @@
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
         for (UpstreamState worker : available) {
-            boolean maySpillOver = worker.lane() == request.lane() || request.lane() == Lane.SENSITIVE;
+            boolean maySpillOver = worker.lane() == request.lane() || request.mayLeaveLane();
             if (!maySpillOver || onlyHolders && !holds(request, worker)) {
                 continue;
             }
@@ -171,7 +173,8 @@
     private static double expectedMillis(ChoiceRequest request, Choice choice) {
         UpstreamState worker = choice.worker();
         return worker.firstEventTime()
-                .expectedMillis(worker.pendingTokens(request.nowMillis()) + choice.unreadTokens());
+                .expectedMillis(
+                        worker.pendingTokens(request.nowMillis(), request.homePriority()) + choice.unreadTokens());
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -1,7 +1,11 @@
 package io.lagoonseam.core.forward;
 
 import io.lagoonseam.core.hash.Rendezvous;
+import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
 
 /** This node's view of one worker: its record, the requests in flight, and its responses. */
 public final class UpstreamState {
@@ -18,6 +22,9 @@
      */
     private static final long FORWARDED_LOAD_VALID_MILLIS = 800;
 
+    /** What is left of a prompt that an engine has begun to read, in tokens: half of a long one. */
+    private static final long MAX_BEGUN_TOKENS = 8_000;
+
     private final long hash;
     private final OutlierDetector outlierDetector = new OutlierDetector();
     private final FirstEventTimeEstimate firstEventTime;
@@ -30,6 +37,9 @@
     private Lane lane = Lane.TOLERANT;
     private int inFlight;
     private long pendingTokens;
+    /** The unread tokens of requests with a priority, by priority; requests without one are not in it. */
+    private final NavigableMap<Integer, Long> pendingByPriority = new TreeMap<>();
+
     private long occupiedKvTokens;
     private WorkerLoad directLoad = WorkerLoad.NONE;
     private long directLoadAtMillis = Long.MIN_VALUE / 2;
@@ -139,6 +149,38 @@
         outlierDetector.requestSent();
     }
 
+    /**
+     * Records that a request with a priority has been sent to the worker, or that its prompt has been read. Called
+     * besides {@link #started} and {@link #promptRead}.
+     *
+     * @param priority its priority; 0 is the most urgent
+     * @param tokens the prompt tokens that the worker has to read for it; negative once it has read them
+     */
+    public void addPending(int priority, long tokens) {
+        pendingByPriority.merge(priority, tokens, Long::sum);
+    }
+
+    /**
+     * Returns the estimated prompt tokens that the worker reads before those of a request. Engines read the prompts of
+     * more urgent requests first, but finish the one that they have begun.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @param priority the priority of the request, if the priorities of all requests in flight are known
+     * @return the number of tokens
+     */
+    public long pendingTokens(long nowMillis, OptionalInt priority) {
+        if (priority.isEmpty()) {
+            return pendingTokens(nowMillis);
+        }
+        long before = sum(pendingByPriority.headMap(priority.getAsInt(), true));
+        long after = sum(pendingByPriority.tailMap(priority.getAsInt(), false));
+        return before + Math.min(after, MAX_BEGUN_TOKENS);
+    }
+
+    private static long sum(Map<Integer, Long> tokens) {
+        return tokens.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     /**
      * Records that the prompt of a request no longer has to be read: its first event has arrived or the request has
      * ended.
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.core.forward;
 
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -11,6 +12,7 @@
  * @param objectiveEndMillis when the time of the objective is over, on the monotonic clock of this node, in
  *     milliseconds
  * @param dataCentre the data centre of the node that forwards it
+ * @param homePriority its priority if a home chooses the worker; empty if a node chooses by itself
  * @param triedWorkers the ids of the workers that it was sent to before, which are chosen only if no other can be
  */
 public record WorkerDemand(
@@ -19,6 +21,7 @@
         long objectiveMillis,
         long objectiveEndMillis,
         String dataCentre,
+        OptionalInt homePriority,
         Set<String> triedWorkers) {
 
     /** Makes an immutable copy of the set. */
@@ -36,6 +39,7 @@
                 dataCentre,
                 kvCapacityTokens,
                 excludedWorkers,
+                homePriority,
                 acceptsLate,
                 nowMillis);
     }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/LaneShare.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/LaneShare.java
@@ -10,9 +10,9 @@
 final class LaneShare {
 
     /** The share before enough requests have been observed. */
-    private static final double INITIAL_SHARE = 1.0 / 3;
+    private static final double INITIAL_SHARE = 0.25;
 
-    private static final double MIN_SHARE = 0.2;
+    private static final double MIN_SHARE = 0.15;
     private static final double MAX_SHARE = 0.4;
 
     /** What each sensitive request that was refused lately adds to the share, and the most that all of them add. */
@@ -26,6 +26,9 @@
     /** What a request costs besides reading its prompt, as a number of prompt tokens. */
     private static final double REQUEST_TOKENS = 1_000;
 
+    /** The share of the work below which the sensitive lane gets no workers of its own. */
+    private static final double NEGLIGIBLE_SHARE = 0.002;
+
     /** The time after which the weight of an observation has decayed to 1/e, in milliseconds. */
     private static final double DECAY_MILLIS = 1_500;
 
@@ -71,6 +74,9 @@
         if (observations < MIN_OBSERVATIONS) {
             return INITIAL_SHARE;
         }
+        if (sensitiveTokens < NEGLIGIBLE_SHARE * tolerantTokens) {
+            return 0;
+        }
         double needed = SENSITIVE_RESERVE * sensitiveTokens / (sensitiveTokens + tolerantTokens);
         double refused = Math.min(MAX_SHARE_OF_REFUSALS, SHARE_PER_REFUSAL * sensitiveRefusals);
         return Math.max(MIN_SHARE, Math.min(MAX_SHARE, needed)) + refused;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -27,6 +27,9 @@
     /** How long a placed request counts as lately placed, in milliseconds. */
     private static final long LESS_URGENT_PLACED_MILLIS = 1_000;
 
+    /** The priority of requests that nodes have placed by themselves. */
+    private static final int UNKNOWN_PRIORITY = 0;
+
     private final ServiceWorkers workers;
     private final RequestQueue<PlacementRequest> queue = new RequestQueue<>();
     private final Map<PlacementKey, PlacementRequest> queued = new HashMap<>();
@@ -48,6 +51,7 @@
         private final boolean hasPrefix;
         private final long promptTokens;
         private final long tokensAhead;
+        private final int priority;
         private long unreadTokens;
         private boolean read;
 
@@ -57,7 +61,9 @@
                 boolean hasPrefix,
                 long promptTokens,
                 long tokensAhead,
+                int priority,
                 long unreadTokens) {
+            this.priority = priority;
             this.worker = worker;
             this.prefixHash = prefixHash;
             this.hasPrefix = hasPrefix;
@@ -204,7 +210,7 @@
         }
         recordPriority(request.priority(), nowMillis);
         UpstreamState worker = choice.get().worker();
-        long tokensAhead = worker.pendingTokens(nowMillis);
+        long tokensAhead = worker.pendingTokens(nowMillis, request.demand().homePriority());
         var prompt = request.demand().prompt();
         workers.observePrompt(
                 request.demand().lane(), prompt.tokens(), choice.get().unreadTokens());
@@ -216,6 +222,7 @@
                         prompt.prefixTokens() > 0,
                         prompt.tokens(),
                         tokensAhead,
+                        request.priority(),
                         choice.get().unreadTokens()),
                 nowMillis);
         return Optional.of(new PlacementDecision.Granted(
@@ -226,8 +233,15 @@
                 choice.get().reason()));
     }
 
+    private static void endReading(Placement placement) {
+        placement.worker.promptRead(placement.unreadTokens);
+        placement.worker.addPending(placement.priority, -placement.unreadTokens);
+        placement.unreadTokens = 0;
+    }
+
     private void begin(PlacementKey key, Placement placement, long nowMillis) {
         placement.worker.started(placement.unreadTokens, placement.promptTokens);
+        placement.worker.addPending(placement.priority, placement.unreadTokens);
         if (placement.hasPrefix) {
             placement.worker.cachedSegments().recordUse(placement.prefixHash, nowMillis);
         }
@@ -249,7 +263,10 @@
             PlacementKey key, String workerId, long prefixHash, long promptTokens, long unreadTokens, long nowMillis) {
         UpstreamState worker = workers.workers().get(workerId);
         if (worker != null && !placements.containsKey(key)) {
-            begin(key, new Placement(worker, prefixHash, prefixHash != 0, promptTokens, 0, unreadTokens), nowMillis);
+            begin(
+                    key,
+                    new Placement(worker, prefixHash, prefixHash != 0, promptTokens, 0, UNKNOWN_PRIORITY, unreadTokens),
+                    nowMillis);
         }
     }
 
@@ -270,8 +287,7 @@
         if (placement.hasPrefix) {
             placement.worker.cachedSegments().recordRead(placement.prefixHash, nowMillis);
         }
-        placement.worker.promptRead(placement.unreadTokens);
-        placement.unreadTokens = 0;
+        endReading(placement);
         changed = true;
     }
 
@@ -288,7 +304,7 @@
         }
         Placement placement = placements.remove(key);
         if (placement != null) {
-            placement.worker.promptRead(placement.unreadTokens);
+            endReading(placement);
             placement.worker.ended(placement.promptTokens);
             changed = true;
         }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.Test;
@@ -140,6 +141,7 @@
                                         "a",
                                         limitPromptKv ? KV_CAPACITY_TOKENS : 0,
                                         Set.of(),
+                                        OptionalInt.empty(),
                                         false,
                                         nowMillis),
                                 List.of(request.worker));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -324,7 +324,7 @@
 
     private boolean dispatch(ServiceQueue queue, ForwardedRequest request) {
         long nowMillis = time.monotonicMillis();
-        Optional<UpstreamChooser.Choice> choice = queue.workers().choose(request.demand(), nowMillis);
+        Optional<UpstreamChooser.Choice> choice = queue.workers().choose(request.ownDemand(), nowMillis);
         choice.ifPresent(found -> {
             queue.workers().observePrompt(request.lane(), request.prompt().tokens(), found.unreadTokens());
             request.send(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -21,6 +21,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -102,7 +103,8 @@
      *
      * @param callerHeaders the evaluated header fields of the caller
      * @param route the route of the request
-     * @param lane the latency lane at the service
+     * @param lane the latency lane at the service if this node chooses the worker
+     * @param homeLane the latency lane at the service if its home chooses the worker
      * @param service the name of the service
      * @param workspace the workspace, empty for an anonymous request
      * @param priority the rank of the request, 0 is the most urgent
@@ -111,6 +113,7 @@
             CallerRequestHeaders callerHeaders,
             Route route,
             Lane lane,
+            Lane homeLane,
             String service,
             String workspace,
             int priority) {}
@@ -160,12 +163,22 @@
 
     @Override
     public WorkerDemand demand() {
+        return demand(admitted.homeLane(), OptionalInt.of(priority()));
+    }
+
+    /** Returns what the request asks of a worker that this node chooses by itself. */
+    WorkerDemand ownDemand() {
+        return demand(lane(), OptionalInt.empty());
+    }
+
+    private WorkerDemand demand(Lane inLane, OptionalInt homePriority) {
         return new WorkerDemand(
                 prompt().shape(),
-                lane(),
+                inLane,
                 admitted.route().objectiveMillis(),
                 arrivedMillis + admitted.route().objectiveMillis(),
                 environment.settings().dataCentre(),
+                homePriority,
                 triedWorkers);
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -326,6 +326,7 @@
                                     callerHeaders,
                                     route.get(),
                                     current.get().lanes().lane(route.get(), service),
+                                    current.get().lanes().homeLane(route.get(), service),
                                     service,
                                     keyWorkspace.map(KeyWorkspace::workspace).orElse(""),
                                     priority),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
@@ -24,6 +24,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -184,6 +185,7 @@
                     ask.objectiveMillis(),
                     nowMillis + ask.objectiveLeftMillis(),
                     batch.dataCentre(),
+                    OptionalInt.of(ask.priority()),
                     Set.copyOf(ask.triedWorkers()));
             PlacementRequest request = new PlacementRequest(
                     new PlacementKey(sender, ask.number()), ask.priority(), demand, nowMillis + ask.waitMillis());
