Gather changes for a time that grows with the nodes

Cause: FailureCauseLogTest failed: of two workers removed at once the second was known 0.4 s later, also on a single node, where no call is saved.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -53,12 +53,6 @@
     /** Interval at which a stopping node checks whether all requests are served, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 50;
 
-    /** How long changes of the configuration and of the workers are gathered before the next watch, in milliseconds. */
-    private static final long GATHER_MILLIS = 400;
-
-    /** The same for the registrations of nodes, in milliseconds; peers learn of each other from messages too. */
-    private static final long NODES_GATHER_MILLIS = 2_500;
-
     private final ForwardEnvironment environment;
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final ForwardDispatcher dispatcher;
@@ -163,23 +157,26 @@
         metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
         LongSupplier longPollTimeoutMillis = () -> WatchPolicy.longPollTimeoutMillis(dispatcher.nodeCount());
+        LongSupplier gatherMillis = () -> WatchPolicy.gatherMillis(dispatcher.nodeCount());
         this.followers = List.of(
                 follower(
                         store,
                         CollectionStore.CONFIGURATION,
                         storeReplica.configurationListener(),
-                        new CollectionFollower.Options(longPollTimeoutMillis, GATHER_MILLIS, false)),
+                        new CollectionFollower.Options(longPollTimeoutMillis, gatherMillis, false)),
                 follower(
                         store,
                         CollectionStore.UPSTREAMS,
                         storeReplica.upstreamListener(),
-                        new CollectionFollower.Options(longPollTimeoutMillis, GATHER_MILLIS, true)),
+                        new CollectionFollower.Options(longPollTimeoutMillis, gatherMillis, true)),
                 follower(
                         store,
                         CollectionStore.NODES,
                         nodes,
                         new CollectionFollower.Options(
-                                () -> CollectionFollower.LONG_WATCH_MILLIS, NODES_GATHER_MILLIS, true)));
+                                () -> CollectionFollower.LONG_WATCH_MILLIS,
+                                () -> WatchPolicy.nodesGatherMillis(dispatcher.nodeCount()),
+                                true)));
     }
 
     private CollectionFollower follower(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -66,11 +66,12 @@
      * How a collection is followed.
      *
      * @param longPollTimeoutMillis supplies the long-poll timeout of each new watch, in milliseconds
-     * @param gatherMillis how long changes are gathered between a watch that returned some and the next one, in
-     *     milliseconds; each watch is a call, and the objects of a collection often change together
+     * @param gatherMillis supplies how long changes are gathered between a watch that returned some and the next one,
+     *     in milliseconds; each watch is a call, and the objects of a collection often change together
      * @param firstListingMayBeStale whether the first listing may be some seconds old
      */
-    public record Options(LongSupplier longPollTimeoutMillis, long gatherMillis, boolean firstListingMayBeStale) {}
+    public record Options(
+            LongSupplier longPollTimeoutMillis, LongSupplier gatherMillis, boolean firstListingMayBeStale) {}
 
     /** Receives the objects of the collection and the results of calls to the store. */
     public interface Listener {
@@ -188,10 +189,10 @@
             staleListing = false;
             revision = Math.max(revision, changes.revision());
             listener.changed(changes.objects(), changes.revision());
-            if (changes.objects().isEmpty() || options.gatherMillis() == 0) {
+            if (changes.objects().isEmpty()) {
                 watch();
             } else {
-                vertx.setTimer(options.gatherMillis(), timer -> watch());
+                vertx.setTimer(Math.max(1, options.gatherMillis().getAsLong()), timer -> watch());
             }
         } else if (result instanceof StoreResult.HistoryGone) {
             // a stale listing is enough unless its own revision is gone too
