Keep urgent requests that will be late in the queue before less urgent ones

Cause: at the end of its wait an urgent request was refused if no slot was free at that moment, though the next free slot then went to a less urgent one. Change: it keeps its place for 0.3 s more and takes the first free slot. Observations of reading rates count only if all prompts before them are known.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -27,12 +28,18 @@
     /** How long a placed request counts as lately placed, in milliseconds. */
     private static final long LESS_URGENT_PLACED_MILLIS = 1_000;
 
+    /** How long a request that will be late is kept, in milliseconds. */
+    public static final long MAX_OVERDUE_MILLIS = 300;
+
     /** The priority of requests that nodes have placed by themselves. */
     private static final int UNKNOWN_PRIORITY = 0;
 
     private final ServiceWorkers workers;
     private final RequestQueue<PlacementRequest> queue = new RequestQueue<>();
     private final Map<PlacementKey, PlacementRequest> queued = new HashMap<>();
+    /** The queued requests that will be late, and are kept since less urgent ones have been placed. */
+    private final Set<PlacementKey> overdue = new HashSet<>();
+
     private final Map<PlacementKey, Placement> placements = new HashMap<>();
     private final Map<String, Set<PlacementKey>> keysByNode = new HashMap<>();
     private final LaneShare laneShare = new LaneShare();
@@ -141,7 +148,9 @@
         changed = false;
         List<LateDecision> decisions = new ArrayList<>();
         queue.dispatch(request -> {
-            Optional<PlacementDecision> granted = place(request, nowMillis);
+            Optional<PlacementDecision> granted = overdue.contains(request.key())
+                    ? place(request, workers.chooseEvenIfLate(request.demand(), nowMillis), nowMillis)
+                    : place(request, nowMillis);
             granted.ifPresent(decision -> {
                 dequeue(request);
                 decisions.add(new LateDecision(request.key(), decision));
@@ -149,18 +158,40 @@
             return granted.isPresent();
         });
         for (PlacementRequest expired : queue.expire(nowMillis)) {
-            dequeue(expired);
-            PlacementDecision decision = placeLate(expired, nowMillis).orElseGet(() -> {
-                forget(expired.key());
-                laneShare.observeRefusal(expired.demand().lane(), nowMillis);
-                return refusal(expired, nowMillis);
-            });
-            decisions.add(new LateDecision(expired.key(), decision));
+            onExpired(expired, nowMillis)
+                    .ifPresent(decision -> decisions.add(new LateDecision(expired.key(), decision)));
         }
         return decisions;
     }
 
+    /**
+     * Decides about a request that can no longer start in time. If less urgent ones have been placed lately, it is
+     * placed late, or keeps its place in the queue for a while: a caller is not refused for the sake of less urgent
+     * ones.
+     */
+    private Optional<PlacementDecision> onExpired(PlacementRequest request, long nowMillis) {
+        boolean lessUrgentPlaced = lowestPlacedPriority > request.priority()
+                && nowMillis - lowestPlacedMillis <= LESS_URGENT_PLACED_MILLIS;
+        if (lessUrgentPlaced) {
+            Optional<PlacementDecision> late =
+                    place(request, workers.chooseEvenIfLate(request.demand(), nowMillis), nowMillis);
+            if (late.isPresent()) {
+                dequeue(request);
+                return late;
+            }
+            if (overdue.add(request.key())) {
+                queue.add(request, request.priority(), request.latestStartMillis() + MAX_OVERDUE_MILLIS);
+                return Optional.empty();
+            }
+        }
+        dequeue(request);
+        forget(request.key());
+        laneShare.observeRefusal(request.demand().lane(), nowMillis);
+        return Optional.of(refusal(request, nowMillis));
+    }
+
     private void dequeue(PlacementRequest request) {
+        overdue.remove(request.key());
         queued.remove(request.key());
         queuedTokens -= unsharedTokens(request);
     }
@@ -184,18 +215,6 @@
         return place(request, workers.choose(request.demand(), nowMillis), nowMillis);
     }
 
-    /**
-     * Places a request that can no longer start in time if less urgent ones have been placed lately: a caller is not
-     * refused for the sake of less urgent ones.
-     */
-    private Optional<PlacementDecision> placeLate(PlacementRequest request, long nowMillis) {
-        boolean lessUrgentPlaced = lowestPlacedPriority > request.priority()
-                && nowMillis - lowestPlacedMillis <= LESS_URGENT_PLACED_MILLIS;
-        return lessUrgentPlaced
-                ? place(request, workers.chooseEvenIfLate(request.demand(), nowMillis), nowMillis)
-                : Optional.empty();
-    }
-
     private void recordPriority(int priority, long nowMillis) {
         if (priority >= lowestPlacedPriority || nowMillis - lowestPlacedMillis > LESS_URGENT_PLACED_MILLIS) {
             lowestPlacedPriority = priority;
@@ -283,7 +302,12 @@
             return;
         }
         placement.read = true;
-        placement.worker.firstEventTime().observe(placement.tokensAhead + placement.unreadTokens, afterMillis);
+        // before a less urgent prompt that was begun, an unknown part of that was read first
+        boolean exact = placement.worker.pendingTokens(nowMillis)
+                == placement.worker.pendingTokens(nowMillis, OptionalInt.of(placement.priority));
+        if (exact) {
+            placement.worker.firstEventTime().observe(placement.tokensAhead + placement.unreadTokens, afterMillis);
+        }
         if (placement.hasPrefix) {
             placement.worker.cachedSegments().recordRead(placement.prefixHash, nowMillis);
         }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -211,6 +211,25 @@
             granted(late.get(0).decision());
         }
 
+        /** If all slots are taken, the next free one is the urgent caller's. */
+        @Test
+        public void anUrgentRequestThatWillBeLateKeepsItsPlaceBeforeLessUrgentOnes() {
+            PlacementHome home = home(1);
+            List<PlacementKey> placed = new ArrayList<>();
+            for (long number = 0; number < SLOTS; number++) {
+                PlacementRequest request = tip(number, 2, 0);
+                granted(home.submit(request, 0));
+                home.recordFirstEvent(request.key(), 30, 0);
+                placed.add(request.key());
+            }
+            assertTrue(home.submit(tip(500, 0, 0), 0) instanceof PlacementDecision.Queued);
+            assertEquals(home.dispatch(95), List.of());
+            home.recordEnd(placed.get(0));
+            List<PlacementHome.LateDecision> late = home.dispatch(200);
+            assertEquals(late.get(0).key().number(), 500);
+            granted(late.get(0).decision());
+        }
+
         /** Long prompts beside a stream with short gaps would stretch them, however early its first event comes. */
         @Test
         public void aSensitiveStreamWaitsForItsLaneRatherThanRunBesideLongPrompts() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
@@ -5,6 +5,7 @@
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.forward.WorkerLoad;
 import io.lagoonseam.core.placement.PlacementDecision;
+import io.lagoonseam.core.placement.PlacementHome;
 import io.lagoonseam.wire.PlacementMessages.Ask;
 import io.lagoonseam.wire.PlacementMessages.Batch;
 import io.lagoonseam.wire.PlacementMessages.Decided;
@@ -44,7 +45,7 @@
     private static final long IN_FLIGHT_KEEPALIVE_MILLIS = 500;
 
     /** How long after the end of its wait a request is given up if the home has not decided, in milliseconds. */
-    private static final long DECISION_GRACE_MILLIS = 100;
+    private static final long DECISION_GRACE_MILLIS = PlacementHome.MAX_OVERDUE_MILLIS + 100;
 
     private final String service;
     private final PlacementClient client;
