Let requests leave a lane that has no worker

Cause: PlacementHomeTest with one worker: a sensitive request found no worker at all. Change: a lane binds only if it has workers.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -38,10 +38,11 @@
     }
 
     /**
-     * Returns whether a worker of another lane may be chosen. Streams with the shortest gaps between events miss them
-     * beside long prompts, so a home sends them to another lane only if they are late anyway.
+     * Returns whether only workers of the request's own lane may be chosen, if it has any. At a home, streams with the
+     * shortest gaps between events leave their lane only if they are late anyway, since they miss their gaps beside
+     * long prompts.
      */
-    boolean mayLeaveLane() {
-        return lane == Lane.SENSITIVE && (homePriority.isEmpty() || acceptsLate);
+    boolean boundToLane() {
+        return homePriority.isPresent() && (lane == Lane.TOLERANT || !acceptsLate);
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -49,8 +49,7 @@
         Prefix prefix = prefix(request, workers, Collections.min(workers, byRank));
         UpstreamState preferred = Collections.min(available, byRank);
         Choice first = choice(request, preferred, prefix);
-        boolean mayPrefer = (request.homePriority().isEmpty() || preferred.lane() == request.lane())
-                && (!prefix.beingRead() || holds(request, preferred));
+        boolean mayPrefer = !prefix.beingRead() || holds(request, preferred);
         if (mayPrefer && inTime(request, expectedMillis(request, first))) {
             return Optional.of(first);
         }
@@ -81,7 +80,9 @@
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
         for (UpstreamState worker : available) {
-            boolean maySpillOver = worker.lane() == request.lane() || request.mayLeaveLane();
+            boolean maySpillOver = worker.lane() == request.lane()
+                    || request.lane() == Lane.SENSITIVE
+                    || request.homePriority().isPresent();
             if (!maySpillOver || onlyHolders && !holds(request, worker)) {
                 continue;
             }
@@ -107,8 +108,13 @@
 
     /** Returns the workers that can take the request. */
     private static List<UpstreamState> available(ChoiceRequest request, Collection<UpstreamState> workers) {
+        boolean laneOnly =
+                request.boundToLane() && workers.stream().anyMatch(worker -> worker.lane() == request.lane());
         List<UpstreamState> available = new ArrayList<>();
         for (UpstreamState worker : workers) {
+            if (laneOnly && worker.lane() != request.lane()) {
+                continue;
+            }
             boolean full = worker.inFlight(request.nowMillis())
                     >= Math.max(1, worker.record().slots());
             if (!full
