Exchange state rarely where homes place requests

Cause: 95 nodes without requests exchanged 760 messages a second, each with a reply, and all of them began with the same peers. Change: four peers picked at random, at once after a change, else every 4 s; registered nodes are not suspected there, since messages between two of them are rare.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
@@ -34,6 +34,14 @@
     /** Number of rounds with unchanged state after which the state is sent all the same. */
     private static final int MAX_UNCHANGED_ROUNDS = 4;
 
+    /**
+     * The same, and the number of nodes that receive a broadcast, where homes place requests: then only changes of
+     * revisions and announcements of workers are exchanged, which all nodes send on.
+     */
+    private static final int MAX_UNCHANGED_ROUNDS_WITH_HOMES = 16;
+
+    private static final int FAN_OUT_WITH_HOMES = 4;
+
     private static final long REQUEST_TIMEOUT_MILLIS = 800;
 
     /**
@@ -112,7 +120,8 @@
         ForwardMessages.State state = state();
         unchangedRounds = state.equals(lastState) ? unchangedRounds + 1 : 0;
         lastState = state;
-        if (unchangedRounds % MAX_UNCHANGED_ROUNDS != 0) {
+        int maxUnchangedRounds = nodes.homesPlace() ? MAX_UNCHANGED_ROUNDS_WITH_HOMES : MAX_UNCHANGED_ROUNDS;
+        if (unchangedRounds % maxUnchangedRounds != 0) {
             return;
         }
         broadcasts++;
@@ -120,7 +129,11 @@
         Map<String, OutcomeCount> outcomes = outcomesDue ? recentOutcomes() : Map.of();
         byte[] payload = ForwardMessages.encode(state.withOutcomesAndLoads(outcomes, recentLoads(peers)));
         dispatcher.clearNewlyCachedSegments();
-        int count = Math.min(FAN_OUT, peers.size());
+        if (nodes.homesPlace()) {
+            // nodes that notice the same change at the same time should not all tell the same peers
+            nextPeer = environment.random().nextInt(peers.size());
+        }
+        int count = Math.min(nodes.homesPlace() ? FAN_OUT_WITH_HOMES : FAN_OUT, peers.size());
         for (int index = 0; index < count; index++) {
             nextPeer = (nextPeer + 1) % peers.size();
             send(peers.get(nextPeer), payload);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -156,8 +156,14 @@
         store.remove(CollectionStore.NODES, environment.settings().nodeName());
     }
 
-    /** Returns the ids of the nodes to contact: all that are alive, and one of the unresponsive ones. */
+    /**
+     * Returns the ids of the nodes to contact: all that are alive, and one of the unresponsive ones. Where homes place
+     * requests, messages between two nodes are too rare to tell, and all nodes are returned.
+     */
     List<String> peers(Random random) {
+        if (homesPlace()) {
+            return List.copyOf(nodes.keySet());
+        }
         List<String> targets = new ArrayList<>();
         List<String> unresponsive = new ArrayList<>();
         long nowMillis = nowMillis();
@@ -220,7 +226,9 @@
         // not be too few
         int registered = idByName.size() + 1;
         onAliveCount.accept(homesPlace() ? Math.max(registered, aliveCount()) : aliveCount());
-        reportSuspected();
+        if (!homesPlace()) {
+            reportSuspected();
+        }
         long nowMillis = nowMillis();
         for (Map.Entry<String, String> entry : Map.copyOf(idByName).entrySet()) {
             Node node = nodes.get(entry.getValue());
