--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -48,9 +48,6 @@
      */
     private static final long ASSUMED_CACHE_MILLIS = 8_000;
 
-    /** How long this node reports a leaving worker to its peers, in milliseconds: twenty rounds of the exchange. */
-    private static final long LEAVING_REPORT_MILLIS = 5_000;
-
     private final ForwardEnvironment environment;
     private final HttpClientAgent client;
     private final TimeSource time;
@@ -61,6 +58,7 @@
     private final UpstreamChooser engineChooser = new PrefixChooser();
     private final UpstreamChooser plainChooser;
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
+    private final WorkerAnnouncements announcements;
     private PlacementClient placement;
     private Runnable onWork = () -> {};
     private RoutingConfiguration configuration;
@@ -72,6 +70,7 @@
         this.time = environment.time();
         this.log = environment.events();
         this.directory = directory;
+        this.announcements = new WorkerAnnouncements(environment, directory, this::refresh);
         this.plainChooser =
                 new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
     }
@@ -220,50 +219,9 @@
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
     }
 
-    /** Applies what a worker says about itself in the headers of an answer: that it is leaving, or wants a pause. */
-    void onAnnouncement(UpstreamState worker, UpstreamResponseHeaders headers) {
-        UpstreamRecord record = worker.record();
-        if (!headers.malformedHeader().isEmpty()) {
-            log.recordDecision(
-                    EventCode.UPSTREAM_HEADER_MALFORMED,
-                    "",
-                    "worker",
-                    record.id(),
-                    "header",
-                    headers.malformedHeader());
-        }
-        if (headers.retryAfterMillis() > 0) {
-            pause(worker, headers.retryAfterMillis());
-        }
-        if (headers.leaving()) {
-            markLeaving(Map.of(record.id(), record.startMillis()));
-        }
-    }
-
-    /** Pauses a worker for at least the given time. */
-    void pause(UpstreamState worker, long millis) {
-        long nowMillis = time.monotonicMillis();
-        if (worker.pauseMillis(nowMillis) == 0) {
-            log.recordDecision(
-                    EventCode.UPSTREAM_PAUSED, "", "worker", worker.record().id(), "pause_millis", millis);
-        }
-        worker.pauseUntil(nowMillis + millis);
-    }
-
-    /** Marks incarnations of workers as leaving: they get no new requests. */
-    void markLeaving(Map<String, Long> startMillisByWorker) {
-        boolean changed = false;
-        for (Map.Entry<String, Long> leaving : startMillisByWorker.entrySet()) {
-            changed |= directory.markLeaving(leaving.getKey(), leaving.getValue(), time.monotonicMillis());
-        }
-        if (changed) {
-            refresh();
-        }
-    }
-
-    /** Returns the workers of which this node has learned lately that they are leaving, with their start times. */
-    Map<String, Long> recentlyLeaving() {
-        return directory.leavingSince(time.monotonicMillis() - LEAVING_REPORT_MILLIS);
+    /** Returns what applies the announcements of workers and of peers about them. */
+    WorkerAnnouncements announcements() {
+        return announcements;
     }
 
     /** Returns the remaining pause of a worker at a time, in milliseconds; 0 if it is unknown. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardStateExchange.java
@@ -155,8 +155,8 @@
     }
 
     private void applyAnnouncements(ForwardMessages.State state) {
-        dispatcher.markLeaving(state.leavingWorkers());
-        forEachWorker(state.pauseMillis(), dispatcher::pause);
+        dispatcher.announcements().markLeaving(state.leavingWorkers());
+        forEachWorker(state.pauseMillis(), dispatcher.announcements()::pause);
     }
 
     private Map<String, OutcomeCount> recentOutcomes() {
@@ -224,7 +224,7 @@
                 segments,
                 Map.of(),
                 Map.of(),
-                dispatcher.recentlyLeaving(),
+                dispatcher.announcements().recentlyLeaving(),
                 pauses());
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -344,7 +344,7 @@
             worker.recordDirectLoad(load, nowMillis());
             placement.load(load);
         });
-        dispatcher.onAnnouncement(worker, received);
+        dispatcher.announcements().onAnswer(worker, received);
     }
 
     private boolean hasSuccessStatus() {
