--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
-import java.util.PriorityQueue;
 
 /**
  * One home places the requests of all nodes. Messages take time, and reports are gathered before they are sent. Without
@@ -28,7 +27,7 @@
     private final Actions actions;
     private final long messageMillis;
     private final long gatherMillis;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final EventSchedule events = new EventSchedule();
     private final Map<Long, ModelRequest> requests = new HashMap<>();
     private final Map<ModelRequest, Sent> sent = new LinkedHashMap<>();
     private PlacementHome home = new PlacementHome(ModelWorkers.create());
@@ -39,25 +38,12 @@
 
     private record Sent(long number, int worker, long unreadTokens, long sentMillis) {}
 
-    private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Long.compare(atMillis, other.atMillis);
-            return byTime != 0 ? byTime : Long.compare(number, other.number);
-        }
-    }
-
     HomeWay(Actions actions, long messageMillis, long gatherMillis) {
         this.actions = actions;
         this.messageMillis = messageMillis;
         this.gatherMillis = gatherMillis;
     }
 
-    private void at(long millis, Runnable action) {
-        lastNumber++;
-        events.add(new Event(millis, lastNumber, action));
-    }
-
     private PlacementKey key(long number, ModelRequest request) {
         return new PlacementKey("n" + request.node, number);
     }
@@ -65,7 +51,7 @@
     @Override
     public void submit(ModelRequest request, long nowMillis) {
         messages += 2;
-        at(Math.max(nowMillis + messageMillis, homeUpAtMillis), () -> ask(request, nowMillis));
+        events.at(Math.max(nowMillis + messageMillis, homeUpAtMillis), () -> ask(request, nowMillis));
     }
 
     private void ask(ModelRequest request, long submittedMillis) {
@@ -118,9 +104,7 @@
 
     @Override
     public void tick(long nowMillis) {
-        while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
-            events.poll().action().run();
-        }
+        events.run(nowMillis);
         if (nowMillis % ASSIGN_MILLIS == 0) {
             home.assignLanes();
         }
@@ -133,7 +117,7 @@
         messages += 2;
         long atMillis = nowMillis + gatherMillis + messageMillis;
         if (atMillis >= homeUpAtMillis) {
-            at(atMillis, action);
+            events.at(atMillis, action);
         }
     }
 
@@ -184,7 +168,7 @@
                 .filter(request -> !sent.containsKey(request) && !request.ended)
                 .toList();
         requests.clear();
-        at(homeUpAtMillis, () -> {
+        events.at(homeUpAtMillis, () -> {
             for (ModelRequest request : inFlight) {
                 Sent entry = sent.get(request);
                 if (entry != null) {
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
@@ -8,7 +8,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -30,7 +29,7 @@
     private final Random random;
     private final List<EngineModel> engines = new ArrayList<>();
     private final Map<ModelRequest, Integer> workerOf = new HashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final EventSchedule events = new EventSchedule();
     private final Set<Long> prefixesRead = new HashSet<>();
     private final Map<String, ClassCount> counts = new HashMap<>();
     private final PlacementWay way;
@@ -79,14 +78,6 @@
             long rejected,
             long messages) {}
 
-    private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Long.compare(atMillis, other.atMillis);
-            return byTime != 0 ? byTime : Long.compare(number, other.number);
-        }
-    }
-
     PlacementModel(PlacementScenario scenario, Way way, long seed) {
         this.scenario = scenario;
         this.random = new Random(seed);
@@ -98,14 +89,10 @@
         this.way = ways.get(way);
     }
 
-    private void at(long millis, Runnable action) {
-        events.add(new Event(millis, events.size() + 1_000_000L * millis, action));
-    }
-
     private final class ModelActions implements PlacementWay.Actions {
         @Override
         public void send(ModelRequest request, int worker, int copyFrom, long atMillis) {
-            at(Math.max(atMillis, nowMillis + 1), () -> arrive(request, worker, copyFrom));
+            events.at(Math.max(atMillis, nowMillis + 1), () -> arrive(request, worker, copyFrom));
         }
 
         @Override
@@ -118,7 +105,7 @@
             }
             request.retried = true;
             long delayMillis = RetryAfter.delayMillis(leftMillis, backlogMillis, 0, random.nextDouble());
-            at(nowMillis + delayMillis, () -> way.submit(request, nowMillis));
+            events.at(nowMillis + delayMillis, () -> way.submit(request, nowMillis));
         }
     }
 
@@ -132,7 +119,7 @@
         if (!engine.add(request, source)) {
             rejected += engine.up ? 1 : 0;
             way.onEnd(request, worker, !engine.up, nowMillis);
-            at(nowMillis + RETRY_MILLIS, () -> way.submit(request, nowMillis));
+            events.at(nowMillis + RETRY_MILLIS, () -> way.submit(request, nowMillis));
             return;
         }
         workerOf.put(request, worker);
@@ -171,16 +158,14 @@
         for (RequestKind kind : RequestKind.MIX) {
             arrivals(kind);
         }
-        at(LOSS_BEGIN_MILLIS, this::loseWorkers);
-        at(LOSS_END_MILLIS, () -> engines.forEach(engine -> engine.up = true));
-        at(LOSS_END_MILLIS + NOTICE_MILLIS, () -> way.workers(serving(), nowMillis));
+        events.at(LOSS_BEGIN_MILLIS, this::loseWorkers);
+        events.at(LOSS_END_MILLIS, () -> engines.forEach(engine -> engine.up = true));
+        events.at(LOSS_END_MILLIS + NOTICE_MILLIS, () -> way.workers(serving(), nowMillis));
         if (scenario.homeDiesMillis() > 0) {
-            at(scenario.homeDiesMillis(), () -> way.killHome(nowMillis));
+            events.at(scenario.homeDiesMillis(), () -> way.killHome(nowMillis));
         }
         for (nowMillis = 0; nowMillis < DURATION_MILLIS; nowMillis++) {
-            while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
-                events.poll().action().run();
-            }
+            events.run(nowMillis);
             way.tick(nowMillis);
             for (EngineModel engine : engines) {
                 engine.advance(nowMillis);
@@ -216,7 +201,7 @@
                 way.onEnd(request, worker, true, nowMillis);
             }
         }
-        at(nowMillis + NOTICE_MILLIS, () -> way.workers(serving(), nowMillis));
+        events.at(nowMillis + NOTICE_MILLIS, () -> way.workers(serving(), nowMillis));
     }
 
     private void arrivals(RequestKind kind) {
@@ -228,11 +213,11 @@
             time += -Math.log(1 - random.nextDouble()) / perMilli;
             long arrival = Math.round(time);
             ModelRequest request = request(kind, arrival);
-            at(arrival, () -> {
+            events.at(arrival, () -> {
                 count(request).asked++;
                 way.submit(request, nowMillis);
             });
-            at(arrival + kind.deadlineMillis(), () -> giveUp(request));
+            events.at(arrival + kind.deadlineMillis(), () -> giveUp(request));
         }
     }
 
