--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
@@ -10,7 +10,9 @@
 
 /**
  * Assigns the streaming routes of each service, and its workers, to lanes. All nodes assign the same lanes, since they
- * have the same configuration and the same list of workers.
+ * have the same configuration and the same list of workers. A node that chooses workers by itself does not know how
+ * long a prompt waits at each, so it keeps all requests with short objectives apart; a home knows it, and keeps only
+ * those apart whose gaps between events long prompts would stretch.
  */
 public final class LatencyLanes {
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -11,10 +11,13 @@
 /**
  * Sends requests with the same prompt prefix to the same worker of their lane, which rendezvous hashing selects alike
  * on every node, so that the prefix is read only once. A request spills over to another worker only if it would miss
- * its objective at this one and the other is expected to be faster; the other worker then copies the cached prefix
- * segments instead of reading them. A request that would miss its objective at every worker stays in the queue, since
- * sending it would only delay the other requests as well. An idle worker gets it at once, since waiting would gain
- * nothing.
+ * its objective at this one: first to workers that have the prefix, then to one that copies it instead of reading it.
+ * As long as the prefix is being read for the first time, it cannot be copied, and the request waits. A request that
+ * would miss its objective at every worker stays in the queue, since sending it would only delay the other requests as
+ * well. An idle worker gets it at once, since waiting would gain nothing.
+ *
+ * <p>Answers bursts of long prompts, at a node that sees the requests of few other nodes and at a home that knows those
+ * of all nodes; a home keeps requests in their lanes.
  */
 public final class PrefixChooser implements UpstreamChooser {
 
