Log the rate limits that workers name

Answers are now read for it: events 438 and 439 say at which node a worker's limit is known, with its value, when it changes, and when it has ended. An answer ends a limit only if its request was sent after the limit was last named. Nothing else changes yet: the limit is not kept. The header is still passed on to callers.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -125,6 +125,10 @@
 
     /** A worker has asked for no new requests for a time. */
     UPSTREAM_PAUSED(437, EventLevel.INFO, "A worker gets no new work until its pause is over"),
+    /** A worker has named a limit on the rate of its requests, or another limit than before. */
+    UPSTREAM_LIMIT_NAMED(438, EventLevel.INFO, "A worker limits the requests that it takes from all nodes together"),
+    /** A worker no longer names a limit on the rate of its requests. */
+    UPSTREAM_LIMIT_ENDED(439, EventLevel.INFO, "A worker no longer limits the requests that it takes"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -344,7 +344,7 @@
             worker.recordDirectLoad(load, nowMillis());
             placement.load(load);
         });
-        dispatcher.announcements().onAnswer(worker, received);
+        dispatcher.announcements().onAnswer(worker, received, sentMillis);
     }
 
     private boolean hasSuccessStatus() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamResponseHeaders.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamResponseHeaders.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.forward.WorkerLoad;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The status and the parsed header section of a worker's response.
@@ -19,6 +20,8 @@
  *     the end of the connection
  * @param leaving whether the worker announces that it is leaving
  * @param retryAfterMillis the time for which the worker asks for no new requests, in milliseconds; 0 if not stated
+ * @param limitPerSecond the number of requests per second that the worker accepts from all nodes together, empty if the
+ *     response names no limit
  * @param malformedHeader the name of a header section field that was ignored since it is malformed, empty if none
  */
 public record UpstreamResponseHeaders(
@@ -33,4 +36,5 @@
         boolean selfDelimited,
         boolean leaving,
         long retryAfterMillis,
+        OptionalDouble limitPerSecond,
         String malformedHeader) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerAnnouncements.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerAnnouncements.java
@@ -4,11 +4,15 @@
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.ratelimit.AnnouncedLimits;
+import io.lagoonseam.core.ratelimit.WorkerIncarnation;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
- * Applies what workers announce about themselves, to this node or to its peers: that they are leaving, or that they
- * want a pause. Either holds for this node from the moment at which it learns of it.
+ * Applies what workers announce about themselves, to this node or to its peers: that they are leaving, that they want a
+ * pause, or that they limit the rate of their requests. It holds for this node from the moment at which it learns of
+ * it.
  */
 final class WorkerAnnouncements {
 
@@ -18,6 +22,7 @@
     private final ForwardEnvironment environment;
     private final UpstreamDirectory directory;
     private final Runnable onLeaving;
+    private final AnnouncedLimits limits = new AnnouncedLimits();
 
     /**
      * Creates an object without announcements.
@@ -36,8 +41,14 @@
         return environment.time().monotonicMillis();
     }
 
-    /** Applies what a worker says about itself in the headers of an answer. */
-    void onAnswer(UpstreamState worker, UpstreamResponseHeaders headers) {
+    /**
+     * Applies what a worker says about itself in the headers of an answer.
+     *
+     * @param worker the worker
+     * @param headers the headers
+     * @param sentMillis the time at which the request was sent, in milliseconds
+     */
+    void onAnswer(UpstreamState worker, UpstreamResponseHeaders headers, long sentMillis) {
         UpstreamRecord record = worker.record();
         if (!headers.malformedHeader().isEmpty()) {
             environment
@@ -56,6 +67,44 @@
         if (headers.leaving()) {
             markLeaving(Map.of(record.id(), record.startMillis()));
         }
+        applyLimit(record, headers, sentMillis);
+    }
+
+    private void applyLimit(UpstreamRecord record, UpstreamResponseHeaders headers, long sentMillis) {
+        WorkerIncarnation incarnation = WorkerIncarnation.of(record);
+        boolean endsLimit = headers.limitPerSecond().isEmpty()
+                && headers.genuine()
+                && headers.malformedHeader().isEmpty();
+        boolean changed = false;
+        if (headers.limitPerSecond().isPresent() && !headers.wrongWorker()) {
+            changed = limits.recordNamed(incarnation, headers.limitPerSecond().getAsDouble(), nowMillis());
+        } else if (endsLimit) {
+            changed = limits.recordNone(incarnation, sentMillis);
+        }
+        if (changed) {
+            logLimit(incarnation, "answer");
+        }
+    }
+
+    private void logLimit(WorkerIncarnation worker, String source) {
+        OptionalDouble perSecond = limits.perSecond(worker);
+        if (perSecond.isPresent()) {
+            environment
+                    .events()
+                    .recordDecision(
+                            EventCode.UPSTREAM_LIMIT_NAMED,
+                            "",
+                            "worker",
+                            worker.id(),
+                            "per_second",
+                            perSecond.getAsDouble(),
+                            "source",
+                            source);
+        } else {
+            environment
+                    .events()
+                    .recordDecision(EventCode.UPSTREAM_LIMIT_ENDED, "", "worker", worker.id(), "source", source);
+        }
     }
 
     /** Pauses a worker for at least the given time. */
