--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -41,6 +43,8 @@
     private boolean healthy = true;
     private boolean leaving;
     private String pauseSeconds = "";
+    private String limitPerSecond = "";
+    private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
 
     /**
      * Creates a worker.
@@ -95,10 +99,14 @@
 
     private void handleRequest(RoutingContext context) {
         arrivals.incrementAndGet();
+        arrivalMillis.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
         HttpServerRequest request = context.request();
         if (leaving) {
             request.response().putHeader("Server-Leaving", "1");
         }
+        if (!limitPerSecond.isEmpty()) {
+            request.response().putHeader("Server-Limit", limitPerSecond);
+        }
         String expectedInstance = request.getHeader("X-Expect-Instance");
         if (expectedInstance != null && !expectedInstance.equals(options.id())) {
             request.response()
@@ -250,6 +258,7 @@
         healthy = faults.getBoolean("healthy", healthy);
         leaving = faults.getBoolean("leaving", leaving);
         pauseSeconds = faults.getString("pauseSeconds", pauseSeconds);
+        limitPerSecond = faults.getString("limitPerSecond", limitPerSecond);
     }
 
     /**
@@ -291,6 +300,15 @@
         return arrivals.get();
     }
 
+    /**
+     * Returns when requests were received, including rejected ones. May be called from any thread.
+     *
+     * @return times on the clock of {@link System#nanoTime()}, in milliseconds, in ascending order
+     */
+    public List<Long> arrivalMillis() {
+        return List.copyOf(arrivalMillis);
+    }
+
     /**
      * Returns the number of requests received whose response or connection has not ended. May be called from any
      * thread.
