Cut off no request on an open connection in a planned stop

Callers that kept using their connections lost requests when a node stopped: StopUnderLoadTest, with 12 callers that send as fast as they are answered, found 9 requests without an answer beside 4,322 answered ones.

Cause: a response whose head was written before the stop, or a new connection, ended without the announcement of its end, while the caller had sent its next request; and the process ended as soon as no request was in flight, with bytes of responses still to be written and requests still arriving.

Now each response whose head is written after the stop began announces the end of its connection, and only such connections are closed after a response. Then the node stops accepting connections, closes those that have been quiet for 300 ms, and ends when none is left.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -290,8 +290,8 @@
 
     /**
      * Stops the node. It fails its readiness check and deregisters at once, keeps serving while the load balancer may
-     * still send new connections, then closes idle connections, and ends when no request is in flight or the end time
-     * of the {@link StopPolicy} has been reached.
+     * still send new connections, then stops accepting them and closes idle ones, and ends when no connection of a
+     * caller is left or the end time of the {@link StopPolicy} has been reached.
      *
      * @return completes when the process may exit; on a second call, never completes
      */
@@ -310,10 +310,11 @@
         homes.stop();
         permitServer.stop();
         environment.vertx().setTimer(BALANCER_GRACE_MILLIS, timer -> {
-            front.closeIdleConnections();
+            front.stopAccepting();
             environment.vertx().setPeriodic(STOP_POLL_MILLIS, pollTimer -> {
+                front.closeQuietConnections();
                 boolean deadlinePassed = environment.time().monotonicMillis() >= policy.exitMillis();
-                if (front.inFlight() == 0 || deadlinePassed) {
+                if (front.drained() || deadlinePassed) {
                     environment.vertx().cancelTimer(pollTimer);
                     environment.events().record(EventCode.NODE_STOPPED, front.inFlight() + " requests in flight");
                     ended.tryComplete();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -7,6 +7,7 @@
 import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.StopPolicy;
 import io.lagoonseam.entry.settings.ListenAddress;
+import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
@@ -75,6 +76,12 @@
      */
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /**
+     * How long a connection has to have been idle before a stopping node closes it, in milliseconds: longer than a
+     * request takes to arrive.
+     */
+    private static final long QUIET_MILLIS = 300;
+
     private final ForwardEnvironment environment;
     private final ForwardDispatcher dispatcher;
     private final Supplier<Optional<RoutingConfiguration>> configuration;
@@ -93,6 +100,8 @@
     private long bodyBytes;
     private int inFlight;
     private Optional<StopPolicy> stopPolicy = Optional.empty();
+    /** The listening socket, known from the first connection on. */
+    private Optional<Channel> listener = Optional.empty();
 
     /** The state of one connection of a caller. */
     private static final class CallerConnection {
@@ -127,7 +136,8 @@
     }
 
     private void onConnection(HttpConnection connection) {
-        StrictFraming.enforce(connection, options);
+        Channel channel = StrictFraming.enforce(connection, options);
+        listener = Optional.ofNullable(channel.parent());
         CallerConnection caller = new CallerConnection();
         caller.idleSinceMillis = nowMillis();
         callerConnections.put(connection, caller);
@@ -167,33 +177,44 @@
     }
 
     /**
-     * Starts the stop: from now on each connection is closed after its next response, and only requests that the policy
-     * allows are accepted.
+     * Starts the stop: from now on each connection is closed after its next response, which announces that, and only
+     * requests that the policy allows are accepted.
      */
     void beginStop(StopPolicy policy) {
         stopPolicy = Optional.of(policy);
     }
 
-    /** Closes the connections without a request in flight; the others close after their response. */
-    void closeIdleConnections() {
-        for (Map.Entry<HttpConnection, CallerConnection> entry : new ArrayList<>(callerConnections.entrySet())) {
-            if (entry.getValue().inFlight == 0) {
-                entry.getKey().close();
-            }
-        }
+    /** Stops accepting connections; open ones are served as before. */
+    void stopAccepting() {
+        listener.ifPresent(Channel::close);
+    }
+
+    /**
+     * Closes the connections without a request in flight, except new ones and those that have just had a response: a
+     * request may be on its way there. The others close after their response.
+     */
+    void closeQuietConnections() {
+        closeIdleSince(nowMillis() - QUIET_MILLIS);
+    }
+
+    /** Returns whether all connections have been closed, after the last byte of their responses was written. */
+    boolean drained() {
+        return callerConnections.isEmpty();
     }
 
     /** Closes connections that have been idle longer than the idle timeout. */
     void closeExpiredConnections() {
-        long limitMillis = limits().idleTimeoutMillis();
-        long nowMillis = nowMillis();
-        List<HttpConnection> expired = new ArrayList<>();
+        closeIdleSince(nowMillis() - limits().idleTimeoutMillis());
+    }
+
+    private void closeIdleSince(long beforeMillis) {
+        List<HttpConnection> idle = new ArrayList<>();
         callerConnections.forEach((connection, caller) -> {
-            if (caller.inFlight == 0 && nowMillis - caller.idleSinceMillis > limitMillis) {
-                expired.add(connection);
+            if (caller.inFlight == 0 && caller.idleSinceMillis < beforeMillis) {
+                idle.add(connection);
             }
         });
-        expired.forEach(HttpConnection::close);
+        idle.forEach(HttpConnection::close);
     }
 
     private void onRequest(HttpServerRequest request) {
@@ -208,6 +229,7 @@
         private final Buffer body = Buffer.buffer();
         private final long bodyLimitBytes = limits().bodyBytes();
         private boolean readingEnded;
+        private boolean closesConnection;
         private long readTimer = -1;
 
         IncomingRequest(HttpServerRequest request) {
@@ -234,8 +256,15 @@
             });
             request.handler(this::onBody);
             request.endHandler(nothing -> onRequestRead());
-            request.response().endHandler(nothing -> {
+            // a connection whose end was not announced stays open: the caller may send its next request at once
+            request.response().headersEndHandler(nothing -> {
                 if (stopPolicy.isPresent()) {
+                    closesConnection = true;
+                    request.response().putHeader("Connection", "close");
+                }
+            });
+            request.response().endHandler(nothing -> {
+                if (closesConnection) {
                     request.connection().close();
                 }
             });
@@ -278,9 +307,6 @@
                 return;
             }
             readingEnded = true;
-            if (stopPolicy.isPresent()) {
-                request.response().putHeader("Connection", "close");
-            }
             forward();
         }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StrictFraming.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StrictFraming.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -26,8 +27,12 @@
 
     private StrictFraming() {}
 
-    /** Replaces the decoder of a caller's connection; must be called before the first byte is read. */
-    static void enforce(HttpConnection connection, HttpServerOptions options) {
+    /**
+     * Replaces the decoder of a caller's connection; must be called before the first byte is read.
+     *
+     * @return the channel of the connection
+     */
+    static Channel enforce(HttpConnection connection, HttpServerOptions options) {
         if (!(connection instanceof ConnectionBase base)) {
             throw new IllegalStateException(
                     "cannot replace the HTTP decoder of a connection of type " + connection.getClass());
@@ -36,6 +41,7 @@
         ChannelPipeline pipeline = context.pipeline();
         pipeline.replace(VertxHttpRequestDecoder.class, DECODER, new StrictDecoder(options));
         pipeline.addAfter(DECODER, null, new MalformedBodyHandler());
+        return context.channel();
     }
 
     /**
