Do not take comments of a stalled stream for progress

A caller of a resumable stream got its first events and then nothing until its deadline, while the worker sent a comment now and then: each complete block of lines restarted the idle timeout, with or without content.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
@@ -12,6 +12,7 @@
     private static final byte NEW_LINE = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
     private final long afterId;
     private Buffer buffered = Buffer.buffer();
@@ -20,6 +21,8 @@
     private int eventStart;
     private String pendingId = "";
     private String lastId = "";
+    private boolean pendingData;
+    private boolean progressed;
 
     /** Creates a splitter for a stream that starts with its first event. */
     EventSplitter() {
@@ -52,6 +55,7 @@
      * @return the events that these bytes complete, empty if they complete none
      */
     Buffer feed(Buffer bytes) {
+        progressed = false;
         buffered.appendBuffer(bytes);
         int end = 0;
         for (; scanned < buffered.length(); scanned++) {
@@ -65,7 +69,7 @@
             if (length == 0) {
                 end = finishEvent(scanned + 1);
             } else {
-                readIdField(length);
+                readField(length);
             }
             lineStart = scanned + 1;
         }
@@ -74,6 +78,8 @@
 
     /** Ends the current event and returns the offset up to which buffered bytes may be forwarded. */
     private int finishEvent(int end) {
+        boolean hasContent = pendingData || !pendingId.isEmpty();
+        pendingData = false;
         if (!pendingId.isEmpty()) {
             long id = parseId(pendingId);
             if (afterId >= 0 && id >= 0 && id <= afterId) {
@@ -82,6 +88,7 @@
             lastId = pendingId;
             pendingId = "";
         }
+        progressed |= hasContent;
         eventStart = end;
         return end;
     }
@@ -97,17 +104,25 @@
         return eventStart;
     }
 
-    private void readIdField(int length) {
-        if (length <= ID_FIELD.length) {
-            return;
+    private void readField(int length) {
+        if (lineBeginsWith(ID_FIELD, length)) {
+            pendingId = buffered.getString(lineStart + ID_FIELD.length, lineStart + length)
+                    .trim();
+        } else if (lineBeginsWith(DATA_FIELD, length)) {
+            pendingData = true;
         }
-        for (int index = 0; index < ID_FIELD.length; index++) {
-            if (buffered.getByte(lineStart + index) != ID_FIELD[index]) {
-                return;
+    }
+
+    private boolean lineBeginsWith(byte[] field, int length) {
+        if (length <= field.length) {
+            return false;
+        }
+        for (int index = 0; index < field.length; index++) {
+            if (buffered.getByte(lineStart + index) != field[index]) {
+                return false;
             }
         }
-        pendingId = buffered.getString(lineStart + ID_FIELD.length, lineStart + length)
-                .trim();
+        return true;
     }
 
     private Buffer takeComplete(int end) {
@@ -119,6 +134,14 @@
         return complete;
     }
 
+    /**
+     * Returns whether the latest bytes completed an event with an id or data. Comments and events without either show
+     * only that the connection is open.
+     */
+    boolean progressed() {
+        return progressed;
+    }
+
     /** Returns the bytes after the last complete event. */
     Buffer rest() {
         return buffered;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -398,13 +398,14 @@
     }
 
     private void onEvents(Buffer events) {
-        if (unreadTokens > 0 || !callerResponse.headersWritten()) {
+        boolean progressed = splitter.progressed();
+        if (progressed && (unreadTokens > 0 || !callerResponse.headersWritten())) {
             observeFirstEvent();
         }
         if (!splitter.lastId().isEmpty()) {
             lastEventId = splitter.lastId();
         }
-        if (kind().retryable()) {
+        if (kind().retryable() && progressed) {
             restartResponseTimer(
                     Math.round(STREAM_IDLE_TIMEOUT_FACTOR * admitted.route().gapObjectiveMillis()));
         }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
@@ -46,4 +46,15 @@
         assertEquals(splitter.lastId(), "1");
         assertEquals(splitter.rest().toString(), "id: 2\nda");
     }
+
+    @Test
+    public void commentsAndEventsWithoutContentAreNoProgress() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.feed(Buffer.buffer(": comment\n\nevent: ping\n\ndata: a"));
+        assertEquals(splitter.progressed(), false);
+        splitter.feed(Buffer.buffer("b\n\n"));
+        assertEquals(splitter.progressed(), true);
+        splitter.feed(Buffer.buffer("\n"));
+        assertEquals(splitter.progressed(), false);
+    }
 }
