Leave a stream with its worker while the caller reads slowly

A caller that read nothing for two seconds lost the rest of its resumable stream, which was sound: the node had stopped reading from the worker, took the worker for silent after three times the gap objective, and went on elsewhere. StreamProgressTest showed it; the end came from a worker that had other events. The idle timeout now stands still while this node does not read from the worker, and the deadline of the request still bounds it.

--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StreamProgressTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StreamProgressTest.java
@@ -1,14 +1,21 @@
 package io.lagoonseam.bench.deployment;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.lagoonseam.standin.operator.PlatformFixtures;
 import io.lagoonseam.standin.worker.WorkerOptions;
+import io.lagoonseam.standin.worker.WorkerStandIn;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
+import java.io.ByteArrayOutputStream;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.regex.Matcher;
@@ -21,6 +28,8 @@
 public class StreamProgressTest {
 
     private static final Pattern ID = Pattern.compile("(?i)x-request-id: (\\S+)");
+    private static final int LARGE_EVENTS = 200;
+    private static final int LARGE_EVENT_BYTES = 64 << 10;
 
     private LocalDeployment deployment;
     private LocalDeployment.Node node;
@@ -85,4 +94,62 @@
         String body = running.join().body();
         assertTrue(body.endsWith("id: 10\ndata: token 10 of t1\n\n"), body);
     }
+
+    /** The caller reads nothing for longer than a worker may be silent. */
+    @Test
+    public void aStreamIsNotTakenFromItsWorkerBecauseTheCallerReadsSlowly() throws Exception {
+        startRawEngine("raw", (socket, id) -> sendLargeEvents(socket, id));
+        WorkerStandIn other = deployment.startWorker("llm", WorkerOptions.engine("e2"));
+        LocalDeployment.awaitThat(
+                "both workers are known",
+                () -> node.metrics(deployment.client()).contains("workers.serving 2"));
+        int began = 0;
+        for (int number = 0; began == 0 && number < 50; number++) {
+            began = readSlowly("s" + number);
+        }
+        assertEquals(began, 1, "one stream has begun at the worker with large events");
+        assertEquals(rawArrivals.get(), 1);
+        assertTrue(other.recordedRequests().stream()
+                .noneMatch(run -> run.getJsonObject("headers").containsKey("last-event-id")));
+    }
+
+    private void sendLargeEvents(NetSocket socket, String id) {
+        socket.write(head(id));
+        String data = "x".repeat(LARGE_EVENT_BYTES);
+        for (int event = 1; event <= LARGE_EVENTS; event++) {
+            socket.write(chunk("id: " + event + "\ndata: " + data + "\n\n"));
+        }
+        socket.write("0\r\n\r\n");
+    }
+
+    /** Returns 1 if the stream came from the worker with large events, after checking that it is whole. */
+    private int readSlowly(String id) throws Exception {
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4_096);
+            socket.setSoTimeout(6_000);
+            socket.connect(new InetSocketAddress(
+                    LocalDeployment.HOST, node.settings().callers().port()));
+            StringBuilder head = new StringBuilder("GET /talk/x HTTP/1.1\r\nHost: " + LocalDeployment.HOST + "\r\n");
+            PlatformFixtures.callerHeaders(LocalDeployment.KEY, id)
+                    .forEach((name, value) ->
+                            head.append(name).append(": ").append(value).append("\r\n"));
+            PlatformFixtures.promptHeaders("a" + id, "b" + id)
+                    .forEach((name, value) ->
+                            head.append(name).append(": ").append(value).append("\r\n"));
+            head.append("Connection: close\r\n\r\n");
+            socket.getOutputStream().write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
+            Thread.sleep(300);
+            boolean large = rawArrivals.get() > 0;
+            Thread.sleep(large ? 2_000 : 0);
+            InputStream in = socket.getInputStream();
+            ByteArrayOutputStream received = new ByteArrayOutputStream();
+            in.transferTo(received);
+            String text = received.toString(StandardCharsets.ISO_8859_1);
+            assertTrue(text.endsWith("0\r\n\r\n"), "the stream is whole: " + text.length() + " bytes");
+            if (large) {
+                assertTrue(text.contains("id: " + LARGE_EVENTS + "\n"), "the last event is there");
+            }
+            return large ? 1 : 0;
+        }
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -51,13 +51,20 @@
         response.setChunked(true);
     }
 
-    /** Writes events, and pauses reading from the worker while the caller's write queue is full. */
-    void writeEvents(Buffer events, UpstreamAttempt from) {
+    /**
+     * Writes events.
+     *
+     * @param events the events
+     * @param onDrained called once the caller has read enough, if this returns false
+     * @return whether more may be written now; false if the caller reads more slowly than events arrive
+     */
+    boolean writeEvents(Buffer events, Runnable onDrained) {
         response.write(events);
-        if (response.writeQueueFull()) {
-            from.pause();
-            response.drainHandler(nothing -> from.resume());
+        if (!response.writeQueueFull()) {
+            return true;
         }
+        response.drainHandler(nothing -> onDrained.run());
+        return false;
     }
 
     /** Ends a stream with its remaining bytes. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -405,12 +405,28 @@
         if (!splitter.lastId().isEmpty()) {
             lastEventId = splitter.lastId();
         }
-        if (kind().retryable() && progressed) {
+        callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
+        if (!callerResponse.writeEvents(events, this::onCallerDrained)) {
+            // the worker is not silent while this node does not read from it
+            attempt.pause();
+            environment.vertx().cancelTimer(responseTimer);
+        } else if (progressed) {
+            restartIdleTimer();
+        }
+    }
+
+    private void onCallerDrained() {
+        if (attempt != null) {
+            attempt.resume();
+            restartIdleTimer();
+        }
+    }
+
+    private void restartIdleTimer() {
+        if (kind().retryable()) {
             restartResponseTimer(
                     Math.round(STREAM_IDLE_TIMEOUT_FACTOR * admitted.route().gapObjectiveMillis()));
         }
-        callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
-        callerResponse.writeEvents(events, attempt);
     }
 
     private void observeFirstEvent() {
