Spend nothing on limits while no worker names one

Reading: each choice of a worker looked up a limit for each worker by a new key, and each node built the set of all workers four times a second to forget limits, at 12,000 workers too. The key is now made once for each worker, and both are skipped while no limit is known. Where homes place requests, the nodes that may issue permits are not copied in each round. Costs were not measured.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
@@ -184,8 +184,7 @@
         List<UpstreamState> eligible = new ArrayList<>();
         List<UpstreamState> admissible = new ArrayList<>();
         for (UpstreamState worker : workers.values()) {
-            boolean admitted = worker.pauseMillis(nowMillis) == 0
-                    && permits.available(worker.record().incarnation(), priority);
+            boolean admitted = worker.pauseMillis(nowMillis) == 0 && permits.available(worker.incarnation(), priority);
             if (!admitted) {
                 continue;
             }
@@ -204,7 +203,7 @@
      * @return the permit
      */
     public Permit takePermit(UpstreamState worker) {
-        return permits.take(worker.record().incarnation());
+        return permits.take(worker.incarnation());
     }
 
     /**
@@ -218,7 +217,7 @@
     public long limitBacklogMillis(long requestsAhead, long nowMillis) {
         double perSecond = workers.values().stream()
                 .filter(worker -> worker.pauseMillis(nowMillis) == 0)
-                .mapToDouble(worker -> permits.limitPerSecond(worker.record().incarnation()))
+                .mapToDouble(worker -> permits.limitPerSecond(worker.incarnation()))
                 .sum();
         return perSecond == 0 ? 0 : Math.round(TimeUnit.SECONDS.toMillis(1) * (1 + requestsAhead) / perSecond);
     }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamState.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.core.forward;
 
 import io.lagoonseam.core.hash.Rendezvous;
+import io.lagoonseam.core.ratelimit.WorkerIncarnation;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
@@ -26,6 +27,7 @@
     private static final long MAX_BEGUN_TOKENS = 8_000;
 
     private final long hash;
+    private final WorkerIncarnation incarnation;
     private final OutlierDetector outlierDetector = new OutlierDetector();
     private final FirstEventTimeEstimate firstEventTime;
     private final PromptSizes promptSizes;
@@ -62,6 +64,7 @@
         this.promptSizes = promptSizes;
         this.firstEventTime = new FirstEventTimeEstimate(serviceEstimate);
         this.hash = Rendezvous.hash(record.id());
+        this.incarnation = record.incarnation();
     }
 
     /**
@@ -82,6 +85,15 @@
         this.record = value;
     }
 
+    /**
+     * Returns the lifetime of the worker, which all its records have in common.
+     *
+     * @return the lifetime
+     */
+    public WorkerIncarnation incarnation() {
+        return incarnation;
+    }
+
     /**
      * Returns the hash of the worker's id, for rendezvous hashing.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/ratelimit/AnnouncedLimits.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/ratelimit/AnnouncedLimits.java
@@ -95,7 +95,7 @@
      * @return the requests per second, empty if the worker has no limit
      */
     public OptionalDouble perSecond(WorkerIncarnation worker) {
-        Entry known = entries.get(worker);
+        Entry known = entries.isEmpty() ? null : entries.get(worker);
         return known == null ? OptionalDouble.empty() : known.perSecond();
     }
 
@@ -124,6 +124,15 @@
         return reports;
     }
 
+    /**
+     * Returns whether no worker has ever named a limit, as far as this node knows.
+     *
+     * @return true if there is nothing to report or to forget
+     */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
     /**
      * Returns a number that grows with each limit that is named, changed or ended.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -32,6 +32,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Assigns requests to workers and keeps the queue of each service up to date with the directory and the configuration.
@@ -198,15 +199,12 @@
             });
             LatencyLanes.assignWorkers(queue.workers().workers().values());
         }
-        announcements.limits().retain(incarnations(), time.monotonicMillis());
         dispatchQueued();
     }
 
     /** Returns the lifetimes of all serving workers. */
     Set<WorkerIncarnation> incarnations() {
-        Set<WorkerIncarnation> incarnations = new HashSet<>();
-        workers().forEach(worker -> incarnations.add(worker.record().incarnation()));
-        return incarnations;
+        return workers().stream().map(UpstreamState::incarnation).collect(Collectors.toSet());
     }
 
     private void addOrUpdate(UpstreamRecord record, long assumedUntilMillis) {
@@ -333,7 +331,7 @@
     }
 
     private boolean limited(UpstreamState worker) {
-        return announcements.limits().perSecond(worker.record().incarnation()).isPresent();
+        return announcements.limits().perSecond(worker.incarnation()).isPresent();
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -5,6 +5,7 @@
 import io.lagoonseam.core.forward.StopPolicy;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.placement.HomeRanking;
+import io.lagoonseam.core.ratelimit.AnnouncedLimits;
 import io.lagoonseam.core.ratelimit.IssuerStanding;
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
 import io.lagoonseam.entry.peer.PeerTransportOptions;
@@ -281,11 +282,20 @@
     private void onCleanup() {
         directory.expire(environment.time().monotonicMillis());
         dispatcher.refresh();
+        forgetLimitsOfGoneWorkers();
+        dispatcher.closeExpiredConnections();
+        front.closeExpiredConnections();
+    }
+
+    private void forgetLimitsOfGoneWorkers() {
+        AnnouncedLimits limits = dispatcher.announcements().limits();
+        if (limits.isEmpty()) {
+            return;
+        }
         Set<WorkerIncarnation> workers = dispatcher.incarnations();
+        limits.retain(workers, environment.time().monotonicMillis());
         permitServer.retain(workers);
         permits.retain(workers);
-        dispatcher.closeExpiredConnections();
-        front.closeExpiredConnections();
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -255,6 +255,9 @@
         if (!listed) {
             return Map.of();
         }
+        if (homesPlace() && !deregistered) {
+            return capacities;
+        }
         Map<String, Integer> issuers = new TreeMap<>();
         capacityByName.forEach((name, capacity) -> {
             String id = idByName.get(name);
