Soak of nodes as separate processes, with an oracle of what callers and workers saw

lagoonseam experiment soak starts nodes as processes on loopback, stops, kills, suspends and reloads them by a seeded schedule that overlaps, lets workers name, change and end limits, and keeps callers on their connections until the process is gone. The oracle checks own and whole answers, payments at most once, true refusals, planned stops that cut off nothing, and the limits over all nodes; SoakOracleTest shows that it finds each and excuses only what it may. Wrong options end with exit code 2.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/Experiments.java
@@ -15,6 +15,7 @@
 import io.lagoonseam.bench.operation.DuplicatesExperiment;
 import io.lagoonseam.bench.operation.OutageExperiment;
 import io.lagoonseam.bench.propagation.PropagationExperiment;
+import io.lagoonseam.bench.soak.SoakExperiment;
 import java.util.List;
 import java.util.Optional;
 
@@ -39,7 +40,8 @@
             new PropagationExperiment(),
             new RollingExperiment(),
             new RouterCostExperiment(),
-            new RoutingExperiment());
+            new RoutingExperiment(),
+            new SoakExperiment());
 
     private Experiments() {}
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/KeptConnection.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/KeptConnection.java
@@ -1,4 +1,4 @@
-package io.lagoonseam.bench.deployment;
+package io.lagoonseam.bench.soak;
 
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
@@ -8,56 +8,96 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
-/** A caller with one kept connection on a raw socket, which notices how the connection ends. Not thread-safe. */
-final class RawCaller implements AutoCloseable {
+/**
+ * A caller with one connection on a raw socket, which it keeps until the connection ends, and which shows how it ended.
+ * Not thread-safe.
+ */
+public final class KeptConnection implements AutoCloseable {
 
-    private static final Pattern LENGTH = Pattern.compile("(?i)\r\ncontent-length: *(\\d+)");
-    private static final Pattern STATUS = Pattern.compile("HTTP/1.1 (\\d+)");
-    private static final int TIMEOUT_MILLIS = 8_000;
+    private static final int TIMEOUT_MILLIS = 9_000;
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int HEX = 16;
 
+    private final String host;
     private final int port;
     private Socket socket;
+    private int answers;
 
     /**
      * A complete answer.
      *
-     * @param status its status
-     * @param closing whether it announces the end of the connection
-     * @param body its body
+     * @param status the status
+     * @param head the status line and the header section, in lower case
+     * @param body the body
      */
-    record Answer(int status, boolean closing, String body) {}
+    public record Answer(int status, String head, String body) {
 
-    RawCaller(int port) {
+        /** Returns whether the answer announces the end of the connection. */
+        public boolean closing() {
+            return head.contains("\r\nconnection: close");
+        }
+    }
+
+    /**
+     * Creates a caller without a connection.
+     *
+     * @param host the address to connect to
+     * @param port the port to connect to
+     */
+    public KeptConnection(String host, int port) {
+        this.host = host;
         this.port = port;
     }
 
-    /** Opens a connection unless one is open; returns false if nothing listens any more. */
-    boolean connect() {
+    /**
+     * Opens a connection unless one is open.
+     *
+     * @return false if nothing listens
+     */
+    public boolean connect() {
         if (socket != null) {
             return true;
         }
         Socket opened = new Socket();
         try {
             opened.setSoTimeout(TIMEOUT_MILLIS);
-            opened.connect(new InetSocketAddress(LocalDeployment.HOST, port), TIMEOUT_MILLIS);
+            opened.connect(new InetSocketAddress(host, port), TIMEOUT_MILLIS);
             socket = opened;
+            answers = 0;
             return true;
         } catch (IOException e) {
+            // nothing listens
             return false;
         }
     }
 
-    /** Sends a payment on the open connection; returns empty if the connection ends without a complete answer. */
-    Optional<Answer> pay(String id) {
-        String head = "POST /pay/x HTTP/1.1\r\nHost: " + LocalDeployment.HOST + "\r\nApi-Key: " + LocalDeployment.KEY
-                + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n{}";
+    /** Returns whether the open connection has not carried an answer yet. */
+    public boolean fresh() {
+        return answers == 0;
+    }
+
+    /**
+     * Sends a request on the open connection and waits for the answer.
+     *
+     * @param line the method and the path, separated by a space
+     * @param headers the headers besides Host and Content-Length
+     * @return the complete answer, empty if the connection ended without one
+     */
+    public Optional<Answer> send(String line, Map<String, String> headers) {
+        StringBuilder head = new StringBuilder(line)
+                .append(" HTTP/1.1\r\nHost: ")
+                .append(host)
+                .append("\r\n");
+        headers.forEach(
+                (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        head.append("Content-Length: 2\r\n\r\n{}");
         try {
-            socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
             Answer answer = read(socket.getInputStream());
+            answers++;
             if (answer.closing()) {
                 close();
             }
@@ -69,29 +109,69 @@
     }
 
     private static Answer read(InputStream in) throws IOException {
-        ByteArrayOutputStream head = new ByteArrayOutputStream();
-        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
-            int next = in.read();
-            if (next < 0) {
-                throw new EOFException("the connection ended after " + head.size() + " bytes of an answer");
+        String head = readHead(in);
+        int status = Integer.parseInt(head.split(" ")[1]);
+        String body = head.contains("\r\ntransfer-encoding: chunked")
+                ? readChunks(in)
+                : readExactly(in, Integer.parseInt(header(head, "content-length")));
+        return new Answer(status, head, body);
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.length() < MAX_HEAD_BYTES && head.indexOf("\r\n\r\n") < 0) {
+            head.append(readLine(in)).append("\r\n");
+        }
+        return head.toString().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the value of a header.
+     *
+     * @param head a header section in lower case
+     * @param name the name of the header in lower case
+     * @return the value
+     * @throws IOException if it is missing
+     */
+    static String header(String head, String name) throws IOException {
+        int start = head.indexOf("\r\n" + name + ":");
+        if (start < 0) {
+            throw new IOException("no " + name + " in " + head);
+        }
+        int from = start + name.length() + 3;
+        return head.substring(from, head.indexOf("\r\n", from)).trim();
+    }
+
+    private static String readChunks(InputStream in) throws IOException {
+        StringBuilder body = new StringBuilder();
+        while (true) {
+            int size = Integer.parseInt(readLine(in).trim(), HEX);
+            body.append(readExactly(in, size));
+            readLine(in);
+            if (size == 0) {
+                return body.toString();
             }
-            head.write(next);
         }
-        String text = head.toString(StandardCharsets.ISO_8859_1);
-        Matcher length = LENGTH.matcher(text);
-        Matcher status = STATUS.matcher(text);
-        if (!length.find() || !status.find()) {
-            throw new IOException("not understood: " + text);
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new EOFException("the connection ended within a line");
+            }
+            line.write(next);
         }
-        int bytes = Integer.parseInt(length.group(1));
+        String text = line.toString(StandardCharsets.ISO_8859_1);
+        return text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
+    }
+
+    private static String readExactly(InputStream in, int bytes) throws IOException {
         byte[] body = in.readNBytes(bytes);
         if (body.length < bytes) {
             throw new EOFException("the connection ended after " + body.length + " of " + bytes + " bytes");
         }
-        return new Answer(
-                Integer.parseInt(status.group(1)),
-                text.toLowerCase(Locale.ROOT).contains("\r\nconnection: close"),
-                new String(body, StandardCharsets.ISO_8859_1));
+        return new String(body, StandardCharsets.ISO_8859_1);
     }
 
     @Override
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
@@ -0,0 +1,113 @@
+package io.lagoonseam.bench.soak;
+
+import io.lagoonseam.bench.fleet.FreePorts;
+import io.lagoonseam.standin.operator.PlatformFixtures;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One node as a process of its own, which is started, stopped and suspended from outside. Not thread-safe. */
+final class NodeProcess implements AutoCloseable {
+
+    static final String HOST = "127.0.0.1";
+
+    private static final long STOP_SECONDS = 8;
+    private static final long READY_TIMEOUT_MILLIS = 20_000;
+    private static final int OK = 200;
+
+    private final Path folder;
+    private final String name;
+    private final PlatformFixtures.Addresses addresses;
+    private Process process;
+
+    NodeProcess(Path folder, int index, int peerPort, int storePort) throws IOException {
+        this.folder = folder;
+        this.name = "node-" + index;
+        this.addresses = new PlatformFixtures.Addresses(
+                HOST, "127.0.0." + (index + 1), FreePorts.find(), FreePorts.find(), peerPort, storePort);
+        Files.writeString(settingsFile(), PlatformFixtures.settings(name, addresses, STOP_SECONDS, List.of(HOST)));
+    }
+
+    private Path settingsFile() {
+        return folder.resolve(name + ".toml");
+    }
+
+    int callerPort() {
+        return addresses.callerPort();
+    }
+
+    void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx96m",
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Djava.net.preferIPv4Stack=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "io.lagoonseam.cli.Main",
+                "node");
+        builder.environment().put("LAGOONSEAM_NODE_FILE", settingsFile().toString());
+        builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()));
+        process = builder.start();
+    }
+
+    /** Waits until the node says that it is ready; throws if that takes longer than 20 seconds. */
+    void awaitReady() throws IOException, InterruptedException {
+        long endMillis = SoakLog.nowMillis() + READY_TIMEOUT_MILLIS;
+        while (!ready()) {
+            if (SoakLog.nowMillis() > endMillis || !process.isAlive()) {
+                throw new IOException(name + " is not ready; see " + folder.resolve(name + ".log"));
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private boolean ready() {
+        try {
+            HttpURLConnection connection =
+                    (HttpURLConnection) URI.create("http://" + HOST + ":" + addresses.readyPort() + "/ready")
+                            .toURL()
+                            .openConnection();
+            connection.setConnectTimeout(500);
+            connection.setReadTimeout(500);
+            return connection.getResponseCode() == OK;
+        } catch (IOException e) {
+            // the node does not listen yet
+            return false;
+        }
+    }
+
+    /** Requests a planned stop and waits until the process has ended; kills it after the stop time of its settings. */
+    void stop() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+            kill();
+        }
+    }
+
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Sends a signal, by its name without SIG. */
+    void signal(String signalName) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        if (process != null && process.isAlive()) {
+            kill();
+        }
+    }
+}
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
@@ -0,0 +1,118 @@
+package io.lagoonseam.bench.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+/** What happened in a soak, as callers and the operator saw it. Thread-safe. */
+final class SoakLog {
+
+    private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
+    private final Queue<NodeEvent> nodeEvents = new ConcurrentLinkedQueue<>();
+    private final Queue<LimitChange> limitChanges = new ConcurrentLinkedQueue<>();
+
+    /** What became of a call. */
+    enum Outcome {
+        /** A complete answer. */
+        ANSWERED,
+        /** The connection ended without a complete answer. */
+        CUT,
+        /** The first request on a connection ended without any answer, as on a connection that was never accepted. */
+        CUT_FRESH
+    }
+
+    /**
+     * One request of a caller.
+     *
+     * @param id the id
+     * @param kind the first part of the path
+     * @param node the index of the node
+     * @param sentMillis when it was sent
+     * @param endedMillis when the answer was complete, or the connection ended
+     * @param outcome what became of it
+     * @param status the status, 0 without an answer
+     * @param limitedBy the worker that named a limit in the answer, empty if none did
+     * @param body the body
+     */
+    record Call(
+            String id,
+            String kind,
+            int node,
+            long sentMillis,
+            long endedMillis,
+            Outcome outcome,
+            int status,
+            String limitedBy,
+            String body) {}
+
+    /** What the operator did to a node. */
+    enum NodeAction {
+        /** A planned stop, with a start afterwards. */
+        STOP(true),
+        /** Settings are read again. */
+        RELOAD(true),
+        /** The process is killed and started again. */
+        KILL(false),
+        /** The process is suspended and resumed. */
+        FREEZE(false);
+
+        private final boolean planned;
+
+        NodeAction(boolean planned) {
+            this.planned = planned;
+        }
+
+        boolean planned() {
+            return planned;
+        }
+    }
+
+    /**
+     * Something done to a node.
+     *
+     * @param action what was done
+     * @param node the index of the node
+     * @param fromMillis when it began
+     * @param toMillis when the node served again
+     */
+    record NodeEvent(NodeAction action, int node, long fromMillis, long toMillis) {}
+
+    /**
+     * A change of the limit of a worker.
+     *
+     * @param worker the id of the worker
+     * @param perSecond the limit, infinite if it ended
+     * @param atMillis when it changed
+     */
+    record LimitChange(String worker, double perSecond, long atMillis) {}
+
+    static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    void add(Call call) {
+        calls.add(call);
+    }
+
+    void add(NodeEvent event) {
+        nodeEvents.add(event);
+    }
+
+    void add(LimitChange change) {
+        limitChanges.add(change);
+    }
+
+    List<Call> calls() {
+        return new ArrayList<>(calls);
+    }
+
+    List<NodeEvent> nodeEvents() {
+        return new ArrayList<>(nodeEvents);
+    }
+
+    List<LimitChange> limitChanges() {
+        return new ArrayList<>(limitChanges);
+    }
+}
--- /dev/null
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -0,0 +1,235 @@
+package io.lagoonseam.bench.soak;
+
+import io.lagoonseam.bench.fleet.FreePorts;
+import io.lagoonseam.bench.soak.SoakLog.LimitChange;
+import io.lagoonseam.bench.soak.SoakLog.NodeAction;
+import io.lagoonseam.bench.soak.SoakLog.NodeEvent;
+import io.lagoonseam.standin.operator.PlatformFixtures;
+import io.lagoonseam.standin.store.StoreStandIn;
+import io.lagoonseam.standin.worker.WorkerOptions;
+import io.lagoonseam.standin.worker.WorkerStandIn;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/** One soak: nodes as processes, stand-ins of the store and of workers, callers, and faults by a seeded schedule. */
+final class SoakRun implements AutoCloseable {
+
+    private static final String KEY = "key-1";
+    private static final int WORKERS = 3;
+    private static final int CALLERS_PER_NODE = 3;
+    private static final int MAX_GAP_MILLIS = 2_500;
+    private static final double[] LIMITS = {0.4, 1, 2.5, 6};
+
+    /** How long the callers go on after the last fault, in milliseconds. */
+    private static final long CALM_MILLIS = 6_000;
+
+    private final Random random;
+    private final long runMillis;
+    private final Vertx vertx = Vertx.vertx();
+    private final StoreStandIn store = new StoreStandIn(NodeProcess.HOST, 0);
+    private final Map<String, WorkerStandIn> workers = new HashMap<>();
+    private final List<NodeProcess> nodes = new ArrayList<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private final SoakLog log = new SoakLog();
+    private volatile boolean running = true;
+    private volatile Exception failure;
+
+    /**
+     * The result.
+     *
+     * @param calls the number of requests of callers
+     * @param served the number of answers with status 200
+     * @param refused the number of answers with status 503
+     * @param lastServedShare the share of requests served after the last fault
+     * @param nodeEvents what was done to the nodes
+     * @param limitChanges the changes of limits
+     * @param violations what was violated
+     */
+    record Result(
+            int calls,
+            long served,
+            long refused,
+            double lastServedShare,
+            List<NodeEvent> nodeEvents,
+            List<LimitChange> limitChanges,
+            List<String> violations) {}
+
+    SoakRun(Path folder, long seed, int nodeCount, long runMillis) throws Exception {
+        this.random = new Random(seed);
+        this.runMillis = runMillis;
+        vertx.deployVerticle(store).await();
+        inStore(() -> store.put(
+                "config", "main", PlatformFixtures.configuration(4, PlatformFixtures.routes(NodeProcess.HOST), KEY)));
+        for (int index = 0; index < WORKERS; index++) {
+            startWorker("app", WorkerOptions.plain("p" + index));
+            startWorker("llm", WorkerOptions.engine("e" + index));
+        }
+        int peerPort = FreePorts.find();
+        for (int index = 0; index < nodeCount; index++) {
+            NodeProcess node = new NodeProcess(folder, index, peerPort, store.port());
+            nodes.add(node);
+            node.start();
+        }
+        for (NodeProcess node : nodes) {
+            node.awaitReady();
+        }
+        for (int index = 0; index < nodeCount * CALLERS_PER_NODE; index++) {
+            int node = index % nodeCount;
+            threads.add(new Thread(new SoakCaller(
+                    "c" + index,
+                    node,
+                    NodeProcess.HOST,
+                    nodes.get(node).callerPort(),
+                    KEY,
+                    log,
+                    random.nextLong(),
+                    () -> running)));
+        }
+    }
+
+    private void inStore(Runnable change) {
+        store.runOnEventLoop(change);
+    }
+
+    private void startWorker(String service, WorkerOptions options) {
+        WorkerStandIn worker = new WorkerStandIn(NodeProcess.HOST, 0, options, 1);
+        vertx.deployVerticle(worker).await();
+        workers.put(options.id(), worker);
+        JsonObject record =
+                PlatformFixtures.worker(service, NodeProcess.HOST + ":" + worker.port(), options.slots(), "ready");
+        inStore(() -> store.put("servers", options.id(), record));
+    }
+
+    Result run() throws Exception {
+        threads.forEach(Thread::start);
+        long endMillis = SoakLog.nowMillis() + runMillis;
+        List<Thread> actions = new ArrayList<>();
+        while (SoakLog.nowMillis() < endMillis) {
+            TimeUnit.MILLISECONDS.sleep(200 + random.nextInt(MAX_GAP_MILLIS));
+            if (random.nextInt(3) == 0) {
+                changeLimit();
+            } else {
+                actions.add(act(random.nextInt(nodes.size()), random.nextInt(10), 300 + random.nextInt(4_000)));
+            }
+        }
+        for (Thread action : actions) {
+            action.join();
+        }
+        long calmMillis = SoakLog.nowMillis();
+        workers.forEach((id, worker) -> setLimit(id, Double.POSITIVE_INFINITY));
+        TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
+        running = false;
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        if (failure != null) {
+            throw failure;
+        }
+        return result(calmMillis);
+    }
+
+    private void changeLimit() {
+        List<String> ids = workers.keySet().stream().sorted().toList();
+        String id = ids.get(random.nextInt(ids.size()));
+        boolean ends = random.nextInt(4) == 0;
+        setLimit(id, ends ? Double.POSITIVE_INFINITY : LIMITS[random.nextInt(LIMITS.length)]);
+    }
+
+    private void setLimit(String id, double perSecond) {
+        String text = Double.isFinite(perSecond) ? Double.toString(perSecond) : "";
+        workers.get(id).setFaults(new JsonObject().put("limitPerSecond", text));
+        log.add(new LimitChange(id, perSecond, SoakLog.nowMillis()));
+    }
+
+    /** Does something to a node, unless something else is being done to it. */
+    private Thread act(int index, int draw, long forMillis) {
+        Thread thread = new Thread(() -> {
+            try {
+                synchronized (nodes.get(index)) {
+                    act(index, action(draw), forMillis);
+                }
+            } catch (IOException | InterruptedException e) {
+                failure = e;
+            }
+        });
+        thread.start();
+        return thread;
+    }
+
+    private static NodeAction action(int draw) {
+        if (draw < 4) {
+            return NodeAction.STOP;
+        }
+        if (draw < 6) {
+            return NodeAction.RELOAD;
+        }
+        return draw < 8 ? NodeAction.FREEZE : NodeAction.KILL;
+    }
+
+    private void act(int index, NodeAction action, long forMillis) throws IOException, InterruptedException {
+        NodeProcess node = nodes.get(index);
+        long fromMillis = SoakLog.nowMillis();
+        switch (action) {
+            case RELOAD -> node.signal("HUP");
+            case STOP -> {
+                node.signal("HUP");
+                node.stop();
+                node.start();
+                node.awaitReady();
+            }
+            case KILL -> {
+                node.kill();
+                node.start();
+                node.awaitReady();
+            }
+            case FREEZE -> {
+                node.signal("STOP");
+                TimeUnit.MILLISECONDS.sleep(forMillis);
+                node.signal("CONT");
+            }
+            default -> throw new IllegalArgumentException("unknown action " + action);
+        }
+        log.add(new NodeEvent(action, index, fromMillis, SoakLog.nowMillis()));
+    }
+
+    private Result result(long calmMillis) {
+        Map<String, List<WorkerStandIn.Arrival>> arrivals = new HashMap<>();
+        Map<String, Integer> runs = new HashMap<>();
+        workers.forEach((id, worker) -> {
+            arrivals.put(id, worker.arrivalRecords());
+            worker.recordedRequests().forEach(run -> runs.merge(run.getString("id"), 1, Integer::sum));
+        });
+        List<SoakLog.Call> calls = log.calls();
+        long last = calls.stream()
+                .filter(call -> call.sentMillis() > calmMillis + CALM_MILLIS / 2)
+                .count();
+        long lastServed = calls.stream()
+                .filter(call -> call.sentMillis() > calmMillis + CALM_MILLIS / 2 && call.status() == 200)
+                .count();
+        return new Result(
+                calls.size(),
+                calls.stream().filter(call -> call.status() == 200).count(),
+                calls.stream().filter(call -> call.status() == 503).count(),
+                last == 0 ? 0 : (double) lastServed / last,
+                log.nodeEvents(),
+                log.limitChanges(),
+                new SoakOracle(log, arrivals, runs).check());
+    }
+
+    @Override
+    public void close() throws Exception {
+        running = false;
+        for (NodeProcess node : nodes) {
+            node.close();
+        }
+        vertx.close().await();
+    }
+}
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StopUnderLoadTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StopUnderLoadTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.lagoonseam.bench.soak.KeptConnection;
+import io.lagoonseam.standin.operator.PlatformFixtures;
 import io.lagoonseam.standin.worker.WorkerOptions;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -71,9 +73,11 @@
     }
 
     private void callUntilGone(String name, Queue<String> cutOff, AtomicInteger answered) {
-        try (RawCaller caller = new RawCaller(node.settings().callers().port())) {
+        try (KeptConnection caller = new KeptConnection(
+                LocalDeployment.HOST, node.settings().callers().port())) {
             for (int number = 0; caller.connect(); number++) {
-                Optional<RawCaller.Answer> answer = caller.pay(name + "-" + number);
+                Optional<KeptConnection.Answer> answer = caller.send(
+                        "POST /pay/x", PlatformFixtures.callerHeaders(LocalDeployment.KEY, name + "-" + number));
                 if (answer.isPresent()) {
                     answered.incrementAndGet();
                 } else {
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/WorkerRateLimitTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/WorkerRateLimitTest.java
@@ -96,7 +96,8 @@
         assertEquals(worker.recordedRequests().size(), served, "what was refused has not run");
         assertWithinLimit(worker, limit, namedMillis + BINDING_MILLIS);
         long lastMillis = namedMillis + LOAD_MILLIS;
-        long late = worker.arrivalMillis().stream()
+        long late = worker.arrivalRecords().stream()
+                .map(WorkerStandIn.Arrival::atMillis)
                 .filter(arrival -> arrival >= lastMillis - WINDOW_MILLIS && arrival < lastMillis)
                 .count();
         assertTrue(late >= 0.6 * limit * TimeUnit.MILLISECONDS.toSeconds(WINDOW_MILLIS), late + " requests in 4 s");
@@ -134,7 +135,8 @@
     }
 
     private static void assertWithinLimit(WorkerStandIn worker, double perSecond, long fromMillis) {
-        List<Long> arrivals = worker.arrivalMillis().stream()
+        List<Long> arrivals = worker.arrivalRecords().stream()
+                .map(WorkerStandIn.Arrival::atMillis)
                 .filter(arrival -> arrival >= fromMillis)
                 .toList();
         long allowed = (long) (1.5 * perSecond * TimeUnit.MILLISECONDS.toSeconds(WINDOW_MILLIS) + 5);
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/ExperimentCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/ExperimentCommand.java
@@ -4,6 +4,7 @@
 import io.lagoonseam.bench.experiment.ExperimentContext;
 import io.lagoonseam.bench.experiment.ExperimentRunner;
 import io.lagoonseam.bench.experiment.Experiments;
+import io.lagoonseam.bench.experiment.InvalidOptionException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -15,7 +16,7 @@
 /** Runs an experiment by its name and writes its results to a folder. */
 final class ExperimentCommand implements Command {
 
-    private static final String[] EXPERIMENT_OPTIONS = {"minutes", "deployment", "seconds"};
+    private static final String[] EXPERIMENT_OPTIONS = {"minutes", "deployment", "seconds", "nodes", "seeds"};
 
     @Override
     public String name() {
@@ -39,6 +40,8 @@
                 .addOption(CommandOptions.of("out", "DIR", "The output folder (default out/NAME)"))
                 .addOption(CommandOptions.of("minutes", "M", "The duration of a random run in minutes"))
                 .addOption(CommandOptions.of("seconds", "S", "The duration of a measured run in seconds"))
+                .addOption(CommandOptions.of("nodes", "N", "The number of nodes of a soak"))
+                .addOption(CommandOptions.of("seeds", "N", "The number of seeds of a soak, from --seed on"))
                 .addOption(CommandOptions.of("deployment", "NAME", "lashkeep (default) or jadran"));
     }
 
@@ -55,6 +58,10 @@
             }
         }
         ExperimentContext context = new ExperimentContext(CommandOptions.seed(line), folder, out, experimentOptions);
-        return ExperimentRunner.run(experiment, context) ? ExitCode.SUCCESS : ExitCode.FAILURE;
+        try {
+            return ExperimentRunner.run(experiment, context) ? ExitCode.SUCCESS : ExitCode.FAILURE;
+        } catch (InvalidOptionException e) {
+            throw new UsageException(e.getMessage(), e);
+        }
     }
 }
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/UsageException.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/UsageException.java
@@ -13,4 +13,8 @@
     public UsageException(String message) {
         super(message);
     }
+
+    UsageException(String message, Throwable cause) {
+        super(message, cause);
+    }
 }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -9,8 +9,9 @@
 import io.vertx.ext.web.RoutingContext;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.Random;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -44,7 +45,15 @@
     private boolean leaving;
     private String pauseSeconds = "";
     private String limitPerSecond = "";
-    private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
+    private final Queue<Arrival> arrivalRecords = new ConcurrentLinkedQueue<>();
+
+    /**
+     * A request that was received.
+     *
+     * @param requestId the id of the request, empty if it has none
+     * @param atMillis when it was received, on the clock of {@link System#nanoTime()}, in milliseconds
+     */
+    public record Arrival(String requestId, long atMillis) {}
 
     /**
      * Creates a worker.
@@ -99,8 +108,8 @@
 
     private void handleRequest(RoutingContext context) {
         arrivals.incrementAndGet();
-        arrivalMillis.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
         HttpServerRequest request = context.request();
+        arrivalRecords.add(new Arrival(requestId(request), TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
         if (leaving) {
             request.response().putHeader("Server-Leaving", "1");
         }
@@ -301,12 +310,12 @@
     }
 
     /**
-     * Returns when requests were received, including rejected ones. May be called from any thread.
+     * Returns the requests received, including rejected ones. May be called from any thread.
      *
-     * @return times on the clock of {@link System#nanoTime()}, in milliseconds, in ascending order
+     * @return the requests in order of arrival
      */
-    public List<Long> arrivalMillis() {
-        return List.copyOf(arrivalMillis);
+    public List<Arrival> arrivalRecords() {
+        return List.copyOf(arrivalRecords);
     }
 
     /**
