--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakCaller.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakCaller.java
@@ -16,7 +16,7 @@
     static final int EVENTS = 10;
 
     private static final int OUTPUT_TOKENS = 40;
-    private static final int MAX_PAUSE_MILLIS = 120;
+    private static final int MAX_PAUSE_MILLIS = 60;
     private static final long RECONNECT_MILLIS = 25;
 
     private final String name;
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -24,7 +24,7 @@
 
     private static final String KEY = "key-1";
     private static final int WORKERS = 3;
-    private static final int CALLERS_PER_NODE = 3;
+    private static final int CALLERS_PER_NODE = 6;
     private static final int MAX_GAP_MILLIS = 2_500;
     private static final double[] LIMITS = {0.4, 1, 2.5, 6};
 
@@ -48,6 +48,7 @@
      * @param calls the number of requests of callers
      * @param served the number of answers with status 200
      * @param refused the number of answers with status 503
+     * @param limited the number of answers that named a limit
      * @param lastServedShare the share of requests served after the last fault
      * @param nodeEvents what was done to the nodes
      * @param limitChanges the changes of limits
@@ -57,6 +58,7 @@
             int calls,
             long served,
             long refused,
+            long limited,
             double lastServedShare,
             List<NodeEvent> nodeEvents,
             List<LimitChange> limitChanges,
@@ -69,8 +71,9 @@
         inStore(() -> store.put(
                 "config", "main", PlatformFixtures.configuration(4, PlatformFixtures.routes(NodeProcess.HOST), KEY)));
         for (int index = 0; index < WORKERS; index++) {
-            startWorker("app", WorkerOptions.plain("p" + index));
-            startWorker("llm", WorkerOptions.engine("e" + index));
+            // so few slots that requests spread over the workers
+            startWorker("app", new WorkerOptions("p" + index, 3, 24, 15, 0, 0, 0, 0));
+            startWorker("llm", new WorkerOptions("e" + index, 4, 32, 0, 4, 500, 60_000, 4));
         }
         int peerPort = FreePorts.find();
         for (int index = 0; index < nodeCount; index++) {
@@ -218,6 +221,7 @@
                 calls.size(),
                 calls.stream().filter(call -> call.status() == 200).count(),
                 calls.stream().filter(call -> call.status() == 503).count(),
+                calls.stream().filter(call -> !call.limitedBy().isEmpty()).count(),
                 last == 0 ? 0 : (double) lastServed / last,
                 log.nodeEvents(),
                 log.limitChanges(),
