--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/FreePorts.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/FreePorts.java
@@ -4,6 +4,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -19,10 +21,14 @@
 
     private static final int MAX_ATTEMPTS = 100;
 
+    /** The ports that this process has been given. A server that is stopped for a while keeps its port here. */
+    private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
+
     private FreePorts() {}
 
     /**
-     * Finds a port that is free on the loopback address at the moment. The port is not reserved.
+     * Finds a port that is free on the loopback address at the moment, and that this process has not been given before.
+     * Other processes may take it.
      *
      * @return a port from 20,000 to 31,999
      * @throws IllegalStateException if none of 100 randomly chosen ports was free
@@ -30,7 +36,7 @@
     public static int find() {
         for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_PORT);
-            if (isFree(port)) {
+            if (!GIVEN.contains(port) && isFree(port) && GIVEN.add(port)) {
                 return port;
             }
         }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
@@ -57,6 +57,9 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
                         folder.resolve(name + ".log").toFile()));
         process = builder.start();
+        // an interrupted soak leaves no nodes behind
+        Process started = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
     /** Waits until the node says that it is ready; throws if that takes longer than 20 seconds. */
