--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StreamProgressTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StreamProgressTest.java
@@ -35,10 +35,12 @@
     private LocalDeployment.Node node;
     private Vertx vertx;
     private final AtomicInteger rawArrivals = new AtomicInteger();
+    private long slowPauseMillis;
 
     @BeforeMethod
     public void start() {
         rawArrivals.set(0);
+        slowPauseMillis = 2_000;
         vertx = Vertx.vertx();
         deployment = new LocalDeployment(event -> {});
         deployment.configure();
@@ -113,6 +115,19 @@
                 .noneMatch(run -> run.getJsonObject("headers").containsKey("last-event-id")));
     }
 
+    /** The node has all events and would have nothing in flight while the caller has yet to read them. */
+    @Test
+    public void aPlannedStopWaitsForACallerThatReadsSlowly() throws Exception {
+        startRawEngine("raw", (socket, id) -> {
+            sendLargeEvents(socket, id);
+            node.vertx()
+                    .runOnContext(nothing ->
+                            node.node().stop().onSuccess(stopped -> node.vertx().close()));
+        });
+        slowPauseMillis = 3_500;
+        assertEquals(readSlowly("s"), 1);
+    }
+
     private void sendLargeEvents(NetSocket socket, String id) {
         socket.write(head(id));
         String data = "x".repeat(LARGE_EVENT_BYTES);
@@ -140,7 +155,7 @@
             socket.getOutputStream().write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
             Thread.sleep(300);
             boolean large = rawArrivals.get() > 0;
-            Thread.sleep(large ? 2_000 : 0);
+            Thread.sleep(large ? slowPauseMillis : 0);
             InputStream in = socket.getInputStream();
             ByteArrayOutputStream received = new ByteArrayOutputStream();
             in.transferTo(received);
