--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
@@ -52,7 +52,8 @@
                 System.getProperty("java.class.path"),
                 "io.lagoonseam.cli.Main",
                 "node");
-        builder.environment().put("LAGOONSEAM_NODE_FILE", settingsFile().toString());
+        builder.environment()
+                .put(PlatformFixtures.SETTINGS_FILE_VARIABLE, settingsFile().toString());
         builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
                         folder.resolve(name + ".log").toFile()));
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakCaller.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakCaller.java
@@ -79,17 +79,9 @@
                 SoakLog.nowMillis(),
                 answer.isPresent() ? Outcome.ANSWERED : lost,
                 answer.map(KeptConnection.Answer::status).orElse(0),
-                answer.map(SoakCaller::limitedBy).orElse(""),
+                answer.map(KeptConnection.Answer::head)
+                        .map(PlatformFixtures::limitedBy)
+                        .orElse(""),
                 answer.map(KeptConnection.Answer::body).orElse("")));
     }
-
-    /** Returns the worker that named a limit, which begins the seal that it puts on its answers. */
-    private static String limitedBy(KeptConnection.Answer answer) {
-        int seal = answer.head().indexOf("\r\nx-response-seal: ");
-        if (seal < 0 || !answer.head().contains("\r\nserver-limit: ")) {
-            return "";
-        }
-        String rest = answer.head().substring(seal + "\r\nx-response-seal: ".length());
-        return rest.substring(0, rest.indexOf('.'));
-    }
 }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformFixtures.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformFixtures.java
@@ -9,8 +9,29 @@
 /** Creates settings files, store records and request headers in the format of the users' platform. */
 public final class PlatformFixtures {
 
+    /** The environment variable that names the settings file of a node. */
+    public static final String SETTINGS_FILE_VARIABLE = "LAGOONSEAM_NODE_FILE";
+
+    private static final String SEAL = "\r\nx-response-seal: ";
+    private static final String LIMIT = "\r\nserver-limit: ";
+
     private PlatformFixtures() {}
 
+    /**
+     * Returns the worker that named a limit in an answer; stand-ins of workers begin their seals with their ids.
+     *
+     * @param head the status line and the header section of the answer, in lower case
+     * @return the id of the worker, empty if the answer names no limit or has no seal
+     */
+    public static String limitedBy(String head) {
+        int seal = head.indexOf(SEAL);
+        if (seal < 0 || !head.contains(LIMIT)) {
+            return "";
+        }
+        String rest = head.substring(seal + SEAL.length());
+        return rest.substring(0, rest.indexOf('.'));
+    }
+
     /**
      * Holds the addresses that a node listens on and the address of its store.
      *
