Break off each stream that ends within an event, with any framing and on any route

Callers saw a stream that ended within an event as complete if its worker had sent a length or a last chunk, or if its route was not one for streams.

Cause: looked at the end of the last event only for streams that the close of their connection delimits, on streaming routes. The platform's pages say that a stream that ends inside an event has been broken off, without such a condition.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/EventSplitter.java
@@ -48,6 +48,17 @@
         }
     }
 
+    /**
+     * Returns whether a stream ends before the end of its last event.
+     *
+     * @param stream the whole stream
+     */
+    static boolean endsWithinEvent(Buffer stream) {
+        EventSplitter splitter = new EventSplitter();
+        splitter.feed(stream);
+        return splitter.rest().length() > 0;
+    }
+
     /**
      * Adds bytes of the stream.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -473,12 +473,12 @@
         decide(new AttemptResult.Answered(answer.status()));
     }
 
-    /** Returns whether a stream that only the end of its connection delimits has broken off visibly. */
+    /** Returns whether a stream of events, on any kind of route, has ended before the end of its last event. */
     private boolean endsWithinEvent() {
-        return kind().stream()
-                && hasSuccessStatus()
-                && !answer.selfDelimited()
-                && splitter.rest().length() > 0;
+        if (kind().stream() && hasSuccessStatus()) {
+            return splitter.rest().length() > 0;
+        }
+        return answer.eventStream() && EventSplitter.endsWithinEvent(bufferedBody);
     }
 
     private void observe(UpstreamState from, OutlierDetector.Outcome outcome) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamResponseHeaders.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamResponseHeaders.java
@@ -18,6 +18,7 @@
  * @param closesConnection whether the worker closes the connection after this response
  * @param selfDelimited whether the end of the body is determined by its length, chunked encoding or status, and not by
  *     the end of the connection
+ * @param eventStream whether the body is a stream of server-sent events
  * @param leaving whether the worker announces that it is leaving
  * @param retryAfterMillis the time for which the worker asks for no new requests, in milliseconds; 0 if not stated
  * @param limitPerSecond the number of requests per second that the worker accepts from all nodes together, empty if the
@@ -34,6 +35,7 @@
         long keepAliveMillis,
         boolean closesConnection,
         boolean selfDelimited,
+        boolean eventStream,
         boolean leaving,
         long retryAfterMillis,
         OptionalDouble limitPerSecond,
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/EventSplitterTest.java
@@ -47,6 +47,16 @@
         assertEquals(splitter.rest().toString(), "id: 2\nda");
     }
 
+    @Test
+    public void aStreamEndsWithinAnEventUnlessABlankLineEndsIt() {
+        for (int end = 1; end <= STREAM.length(); end++) {
+            String cut = STREAM.substring(0, end);
+            boolean whole = cut.endsWith("\n\n") || cut.endsWith("\n\r\n");
+            assertEquals(EventSplitter.endsWithinEvent(Buffer.buffer(cut)), !whole, cut);
+        }
+        assertEquals(EventSplitter.endsWithinEvent(Buffer.buffer()), false);
+    }
+
     @Test
     public void commentsAndEventsWithoutContentAreNoProgress() {
         EventSplitter splitter = new EventSplitter();
