Frame an answer for its caller only if its worker framed it

Callers got a Content-Length or a last chunk with each answer that a worker ended by closing its connection, also if the worker had ended in the middle of it: the node framed as complete what nothing showed to be complete.

Cause: Vert.x frames each response of a server, and the node buffered or chunked what it received, so that the framing of the worker was lost. Now the caller's response is delimited by the close of its connection where the worker's is, and reset where the worker's stream fails, since an orderly close would end it. A stream that began with chunks and goes on at a worker without them is not given a last chunk.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -2,8 +2,10 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 
 /**
  * Writes the response of one request to its caller: a worker's stream, a worker's complete response, or a response of
@@ -17,6 +19,7 @@
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private long firstEventMillis = NO_EVENT_YET;
+    private boolean closeDelimited;
 
     CallerResponse(ForwardProtocol protocol, HttpServerRequest request) {
         this.protocol = protocol;
@@ -40,7 +43,15 @@
         return Math.max(0, firstEventMillis);
     }
 
-    /** Writes the status and headers of a stream unless they have been written already. */
+    /** Returns whether only the close of the connection marks the end of the response that has begun. */
+    boolean closeDelimited() {
+        return closeDelimited;
+    }
+
+    /**
+     * Writes the status and headers of a stream unless they have been written already. The response is framed only if
+     * that of the worker is.
+     */
     void writeHeaders(UpstreamResponseHeaders answer, MultiMap headers, long sinceArrivalMillis) {
         if (headersWritten()) {
             return;
@@ -49,6 +60,23 @@
         response.setStatusCode(answer.status());
         response.headers().addAll(protocol.responseHeaders(headers));
         response.setChunked(true);
+        if (!answer.selfDelimited()) {
+            delimitByClose();
+        }
+    }
+
+    private void delimitByClose() {
+        closeDelimited = true;
+        response.putHeader("Connection", "close");
+        CloseDelimitedResponse.beginOn(request.connection());
+    }
+
+    private void end(Buffer body) {
+        response.end(body).onComplete(written -> {
+            if (closeDelimited) {
+                request.connection().close();
+            }
+        });
     }
 
     /**
@@ -67,16 +95,20 @@
         return false;
     }
 
-    /** Ends a stream with its remaining bytes. */
-    void endStream(Buffer rest) {
-        response.end(rest);
+    /** Ends a stream. */
+    void endStream() {
+        end(Buffer.buffer());
     }
 
-    /** Writes a worker's complete response. */
+    /** Writes a worker's complete response, which is framed only if that of the worker is. */
     void writeComplete(UpstreamResponseHeaders answer, MultiMap headers, Buffer body) {
         response.setStatusCode(answer.status());
         response.headers().addAll(protocol.responseHeaders(headers));
-        response.end(body);
+        if (!answer.selfDelimited() && request.method() != HttpMethod.HEAD) {
+            response.setChunked(true);
+            delimitByClose();
+        }
+        end(body);
     }
 
     /** Writes a response without a body that this node generates itself. */
@@ -87,10 +119,14 @@
     }
 
     /**
-     * Closes the caller's connection in the middle of a response, so that a truncated response cannot be taken for a
-     * complete one.
+     * Closes or resets the caller's connection in the middle of a response, so that a truncated response cannot be
+     * taken for a complete one.
      */
     void abort() {
-        request.connection().close();
+        if (closeDelimited || request.version() == HttpVersion.HTTP_1_0) {
+            CloseDelimitedResponse.breakOff(request.connection());
+        } else {
+            request.connection().close();
+        }
     }
 }
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CloseDelimitedResponse.java
@@ -0,0 +1,62 @@
+package io.lagoonseam.entry.forward;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.impl.ConnectionBase;
+
+/**
+ * Takes the framing from the next response on a caller's connection, so that only the close of the connection delimits
+ * it. Vert.x frames every response to a caller of HTTP/1.1.
+ */
+final class CloseDelimitedResponse extends ChannelOutboundHandlerAdapter {
+
+    private CloseDelimitedResponse() {
+        super();
+    }
+
+    /**
+     * Takes the framing from the next response, which has to be chunked as far as Vert.x knows.
+     *
+     * @param connection the connection of the caller, which has to be closed after the response
+     */
+    static void beginOn(HttpConnection connection) {
+        ChannelHandlerContext context = base(connection).channelHandlerContext();
+        context.pipeline().addBefore(context.name(), null, new CloseDelimitedResponse());
+    }
+
+    /**
+     * Resets a connection, since an orderly close would be the end of a complete response.
+     *
+     * @param connection the connection of the caller
+     */
+    static void breakOff(HttpConnection connection) {
+        Channel channel = base(connection).channelHandlerContext().channel();
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    private static ConnectionBase base(HttpConnection connection) {
+        if (connection instanceof ConnectionBase base) {
+            return base;
+        }
+        throw new IllegalStateException("no access to the channel of a connection of type " + connection.getClass());
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        if (message instanceof HttpResponse response && response.status().code() >= HttpResponseStatus.OK.code()) {
+            response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+            super.write(context, message, promise);
+            context.pipeline().remove(this);
+            return;
+        }
+        super.write(context, message, promise);
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -543,7 +543,11 @@
     private void forwardAnswer() {
         if (kind().stream() && hasSuccessStatus()) {
             callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
-            callerResponse.endStream(splitter.rest());
+            if (!answer.selfDelimited() && !callerResponse.closeDelimited()) {
+                abort("a resumed stream ended without a length or chunks");
+                return;
+            }
+            callerResponse.endStream();
         } else if (callerResponse.headersWritten()) {
             abort("a resumed stream ended with status " + answer.status());
             return;
