Bound the memory of answers that a node holds until it forwards them

Cause: EventSplitter kept the bytes of an unfinished event without a limit; a plain answer was limited to 8 MB by itself, but not all of them together.

AnswerBuffers bounds them to a twentieth of the node's memory, 8 MB for each answer or event, and gives up the largest: one without end grows until it is the largest, and small ones are served meanwhile. Gauge: answers.buffered_bytes.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.AnswerBuffers;
 import io.lagoonseam.core.forward.ForwardService;
 import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.LeastLoadedChooser;
@@ -52,7 +53,14 @@
      */
     private static final long ASSUMED_CACHE_MILLIS = 8_000;
 
+    /** The share of the memory of a node that answers may occupy until they are forwarded. */
+    private static final double ANSWER_MEMORY_SHARE = 0.05;
+
+    /** The largest answer, or event of a stream, that a node holds until it is forwarded, in bytes. */
+    private static final long MAX_ANSWER_BYTES = 8 << 20;
+
     private final ForwardEnvironment environment;
+    private final AnswerBuffers<ForwardedRequest> answerBuffers;
     private final HttpClientAgent client;
     private final TimeSource time;
     private final DecisionLog log;
@@ -75,6 +83,9 @@
         this.time = environment.time();
         this.log = environment.events();
         this.directory = directory;
+        int memoryMegabytes = environment.settings().resources().memoryMegabytes();
+        this.answerBuffers =
+                new AnswerBuffers<>(Math.round(ANSWER_MEMORY_SHARE * memoryMegabytes * (1 << 20)), MAX_ANSWER_BYTES);
         this.announcements = new WorkerAnnouncements(environment, directory, this::refresh);
         this.plainChooser =
                 new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
@@ -94,6 +105,11 @@
         return queues.values().stream().anyMatch(queue -> queue.queuedRequests().size() > 0);
     }
 
+    /** Returns what bounds the memory that answers occupy. */
+    AnswerBuffers<ForwardedRequest> answerBuffers() {
+        return answerBuffers;
+    }
+
     /** Sets the client that asks homes for workers. */
     void placement(PlacementClient value) {
         this.placement = value;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -109,6 +109,8 @@
         this.storeReplica = new StoreReplica(environment, decoder, directory, dispatcher::configure, this::onUpstreams);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
         metrics.gauge("requests.in_flight", front::inFlight);
+        metrics.gauge(
+                "answers.buffered_bytes", () -> (int) dispatcher.answerBuffers().bytes());
         metrics.gauge("nodes.alive", dispatcher::nodeCount);
         metrics.gauge("workers.serving", () -> dispatcher.workers().size());
         this.operations = new OperationsServer(vertx, this::ready, registry);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -32,9 +32,6 @@
  */
 final class ForwardedRequest implements UpstreamAttempt.Listener, PlacedRequest {
 
-    /** Largest response body that is buffered before it is forwarded, in bytes. */
-    private static final int MAX_BUFFERED_BYTES = 8 << 20;
-
     /**
      * How long after the deadline this node still waits for the response of a worker, in milliseconds: the one-way
      * network latency between data centres.
@@ -81,6 +78,7 @@
     private EventSplitter splitter = new EventSplitter();
     private Buffer bufferedBody = Buffer.buffer();
     private String lastEventId;
+    private long heldBytes;
     private UpstreamAttempt attempt;
     private UpstreamState worker;
     private Permit permit = Permit.UNLIMITED;
@@ -279,8 +277,7 @@
         triedWorkers.add(worker.record().id());
         log.sent(choice, decidedBy, triedWorkers.size(), tokensAhead, lastEventId);
         answer = null;
-        bufferedBody = Buffer.buffer();
-        splitter = new EventSplitter(lastEventId);
+        dropAnswer();
         if (connections.isEmpty()) {
             onFailure(new AttemptResult.NotRun("the worker has left", false));
             return;
@@ -380,10 +377,7 @@
     public void onBody(Buffer bytes) {
         if (!kind().stream() || !hasSuccessStatus()) {
             bufferedBody.appendBuffer(bytes);
-            if (bufferedBody.length() > MAX_BUFFERED_BYTES) {
-                attempt.cancel();
-                onFailure(new AttemptResult.Broken("the answer is over " + MAX_BUFFERED_BYTES + " bytes"));
-            }
+            hold(bufferedBody.length());
             return;
         }
         if (!answer.genuine()) {
@@ -395,6 +389,27 @@
         if (events.length() > 0) {
             onEvents(events);
         }
+        hold(splitter.rest().length());
+    }
+
+    private void hold(long bytes) {
+        if (bytes != heldBytes) {
+            heldBytes = bytes;
+            dispatcher.answerBuffers().hold(this, bytes).ifPresent(ForwardedRequest::giveUpAnswer);
+        }
+    }
+
+    private void giveUpAnswer() {
+        long bytes = heldBytes;
+        dropAnswer();
+        attempt.cancel();
+        onFailure(new AttemptResult.Broken("the answer occupies " + bytes + " bytes without an end"));
+    }
+
+    private void dropAnswer() {
+        bufferedBody = Buffer.buffer();
+        splitter = new EventSplitter(lastEventId);
+        hold(0);
     }
 
     private void onEvents(Buffer events) {
@@ -521,7 +536,10 @@
                 kind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, remainingMillis());
         NextStep step = AttemptPolicy.next(result, history, this::tryTakeRetry);
         switch (step) {
-            case RETRY -> submit();
+            case RETRY -> {
+                dropAnswer();
+                submit();
+            }
             case FORWARD_ANSWER -> forwardAnswer();
             case REFUSE -> refuse(result.toString());
             case FAIL ->
@@ -651,6 +669,7 @@
 
     private void finish() {
         done = true;
+        dropAnswer();
         environment.vertx().cancelTimer(deadlineTimer);
         environment.vertx().cancelTimer(responseTimer);
         onDone.run();
