Log the software version of workers, and which stream a caller takes up

Events 430 and 435 now have the version of the worker, and event 211 the request id that a caller names when it takes a stream up. Nothing decides by them yet.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelWorkers.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelWorkers.java
@@ -35,7 +35,7 @@
                     .computeIfAbsent(
                             id(worker),
                             id -> workers.newState(new UpstreamRecord(
-                                    id, 1, "llm", "10.0.0." + worker, 80, "a", EngineModel.SLOTS, false, 1)));
+                                    id, 1, "llm", "v1", "10.0.0." + worker, 80, "a", EngineModel.SLOTS, false, 1)));
         }
         LatencyLanes.assignWorkers(workers.workers().values());
     }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamRecord.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamRecord.java
@@ -8,6 +8,7 @@
  * @param id the id of the worker, which a restarted worker may keep
  * @param startMillis its start time, in Unix milliseconds; 0 if unknown
  * @param service the name of the service that it belongs to
+ * @param softwareVersion the version of its software, empty if unknown
  * @param host its IP address
  * @param port its port
  * @param dataCentre its data centre
@@ -19,6 +20,7 @@
         String id,
         long startMillis,
         String service,
+        String softwareVersion,
         String host,
         int port,
         String dataCentre,
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -24,7 +24,7 @@
         PromptSizes sizes = new PromptSizes();
         for (int index = 0; index < count; index++) {
             workers.add(new UpstreamState(
-                    new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", 128, false, 1),
+                    new UpstreamRecord("w" + index, 1, "llm", "v1", "10.0.0." + index, 80, "a", 128, false, 1),
                     service,
                     sizes));
         }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -93,7 +93,7 @@
             this.limitPromptKv = limitPromptKv;
             PromptSizes sizes = new PromptSizes();
             sizes.observe(Lane.TOLERANT, SHARED_TOKENS + OWN_TOKENS, OWN_TOKENS + SHARED_TOKENS / 4);
-            UpstreamRecord record = new UpstreamRecord("w", 1, "llm", "10.0.0.1", 80, "a", 64, false, 1);
+            UpstreamRecord record = new UpstreamRecord("w", 1, "llm", "v1", "10.0.0.1", 80, "a", 64, false, 1);
             for (int node = 0; node < NODES; node++) {
                 views.add(new UpstreamState(record, new FirstEventTimeEstimate(), sizes));
             }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/UpstreamDirectoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/UpstreamDirectoryTest.java
@@ -15,7 +15,7 @@
     private static final long AFTER_REREGISTRATION = UpstreamDirectory.REREGISTRATION_MILLIS + 1;
 
     private static UpstreamRecord record(String id, boolean leaving, long revision) {
-        return new UpstreamRecord(id, 1, "chat", "10.0.0.1", 80, "a", 4, leaving, revision);
+        return new UpstreamRecord(id, 1, "chat", "v1", "10.0.0.1", 80, "a", 4, leaving, revision);
     }
 
     private static String serving(UpstreamDirectory directory) {
@@ -119,7 +119,7 @@
     public static class Announcements {
 
         private static UpstreamRecord incarnation(long startMillis, boolean leaving, long revision) {
-            return new UpstreamRecord("w1", startMillis, "chat", "10.0.0.1", 80, "a", 4, leaving, revision);
+            return new UpstreamRecord("w1", startMillis, "chat", "v1", "10.0.0.1", 80, "a", 4, leaving, revision);
         }
 
         /** A store that is restored from a copy calls a worker ready again that had begun to drain. */
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -33,7 +33,7 @@
         set.modelEngine(true);
         for (int index = 0; index < workers; index++) {
             UpstreamRecord record =
-                    new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", SLOTS, false, 1);
+                    new UpstreamRecord("w" + index, 1, "llm", "v1", "10.0.0." + index, 80, "a", SLOTS, false, 1);
             set.workers().put(record.id(), set.newState(record));
         }
         LatencyLanes.assignWorkers(set.workers().values());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerRequestHeaders.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerRequestHeaders.java
@@ -10,6 +10,13 @@
  * @param timeoutMillis the time until the caller's deadline, in milliseconds; 0 if not stated
  * @param prompt the segments of the prompt
  * @param lastEventId the id of the last event of the stream that the caller has received, empty if it has received none
+ * @param resumedRequestId the id of the attempt of the caller that brought the first event of the stream that it takes
+ *     up, empty if it names none
  */
 public record CallerRequestHeaders(
-        String requestId, String apiKey, long timeoutMillis, PromptSegments prompt, String lastEventId) {}
+        String requestId,
+        String apiKey,
+        long timeoutMillis,
+        PromptSegments prompt,
+        String lastEventId,
+        String resumedRequestId) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -241,6 +241,8 @@
                 record.id(),
                 "service",
                 record.service(),
+                "version",
+                record.softwareVersion(),
                 "data_centre",
                 record.dataCentre(),
                 "revision",
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -51,7 +51,9 @@
                 "left_ms",
                 remainingMillis,
                 "prompt_tokens",
-                admitted.callerHeaders().prompt().tokens());
+                admitted.callerHeaders().prompt().tokens(),
+                "resumes",
+                admitted.callerHeaders().resumedRequestId());
     }
 
     void queued(long maxWaitMillis) {
@@ -63,6 +65,8 @@
                 EventCode.REQUEST_SENT,
                 "worker",
                 choice.worker().record().id(),
+                "version",
+                choice.worker().record().softwareVersion(),
                 "reason",
                 choice.reason(),
                 "decided_by",
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
@@ -64,7 +64,7 @@
                 DecisionLog.NOOP,
                 new MetricRegistry());
         UpstreamDirectory directory = new UpstreamDirectory();
-        directory.applyChange(new UpstreamRecord("w1", 1, "llm", "10.1.0.1", 80, "dc-1", 64, false, 1));
+        directory.applyChange(new UpstreamRecord("w1", 1, "llm", "v1", "10.1.0.1", 80, "dc-1", 64, false, 1));
         dispatcher = new ForwardDispatcher(environment, vertx.createHttpClient(new HttpClientOptions()), directory);
         dispatcher.refresh();
         NodeDirectory nodes = new NodeDirectory(environment, new UnavailableStore(), dispatcher::nodeCount);
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SharedFailuresTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SharedFailuresTest.java
@@ -43,7 +43,8 @@
         ServiceWorkers service =
                 new ServiceWorkers(new PrefixChooser(), new LeastLoadedChooser(1), PermitSource.UNLIMITED);
         for (int index = 0; index < workers; index++) {
-            UpstreamRecord record = new UpstreamRecord("w" + index, 1, "llm", "10.0.0." + index, 80, "a", 64, false, 1);
+            UpstreamRecord record =
+                    new UpstreamRecord("w" + index, 1, "llm", "v1", "10.0.0." + index, 80, "a", 64, false, 1);
             service.workers().put("w" + index, service.newState(record));
         }
         return service;
