Show that streams go on at another software version than the one that began them

The workers of the test name themselves in each event, so that the check is made on what the callers received.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -266,9 +266,23 @@
      * @return the worker
      */
     public WorkerStandIn startWorker(String service, WorkerOptions options) {
+        return startWorker(service, "v1", options);
+    }
+
+    /**
+     * Starts a worker with a version of its software and registers it in the store as ready.
+     *
+     * @param service the service of the worker
+     * @param version the version of its software
+     * @param options the capacity and timing of the worker
+     * @return the worker
+     */
+    public WorkerStandIn startWorker(String service, String version, WorkerOptions options) {
         WorkerStandIn worker = new WorkerStandIn(HOST, 0, options, 1);
         await(standInVertx.deployVerticle(worker));
-        register(service, options.id(), worker.port(), options.slots(), "ready");
+        JsonObject record =
+                PlatformFixtures.worker(service, version, HOST + ":" + worker.port(), options.slots(), "ready");
+        runInStore(() -> store.put("servers", options.id(), record));
         return worker;
     }
 
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformFixtures.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformFixtures.java
@@ -150,11 +150,25 @@
      * @return the record of the worker
      */
     public static JsonObject worker(String service, String address, int slots, String state) {
+        return worker(service, "v1", address, slots, state);
+    }
+
+    /**
+     * Creates the record of a worker with a version of its software.
+     *
+     * @param service the name of the service that the worker belongs to
+     * @param version the version of its software
+     * @param address the address of the worker
+     * @param slots the maximum number of concurrent requests
+     * @param state the state of the worker, such as {@code ready}
+     * @return the record of the worker
+     */
+    public static JsonObject worker(String service, String version, String address, int slots, String state) {
         return new JsonObject()
                 .put("service", service)
                 .put("address", address)
                 .put("zone", "dc-1")
-                .put("version", "v1")
+                .put("version", version)
                 .put("slots", slots)
                 .put("state", state)
                 .put("born", 1_000L)
@@ -172,6 +186,17 @@
         return Map.of("Api-Key", key, "X-Request-Id", id, "X-Deadline-Ms", "5000");
     }
 
+    /**
+     * Creates the headers with which a caller takes up a stream after the last event that it has received.
+     *
+     * @param resumedId the id of the request that brought the first event
+     * @param lastEventId the id of the last event
+     * @return the header values by header name
+     */
+    public static Map<String, String> resumeHeaders(String resumedId, String lastEventId) {
+        return Map.of("Resumes", resumedId, "Last-Event-Id", lastEventId);
+    }
+
     /**
      * Creates the headers that describe a prompt with an answer of at most 40 tokens.
      *
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -19,7 +19,8 @@
 /**
  * Simulates a worker of a plain service or of a model. It rejects requests that are addressed to another instance,
  * reports its load, and records the requests that it ran with their ids. Its faults are failed requests, missing
- * responses, connections closed instead of a response, and streams that are cut off.
+ * responses, connections closed instead of a response, and streams that are cut off. If told to, it names itself in
+ * each event of a stream.
  */
 public final class WorkerStandIn extends AbstractStandIn {
 
@@ -40,6 +41,7 @@
     private double failureRate;
     private double lostAnswerShare;
     private int breakAfterEvents = Integer.MAX_VALUE;
+    private boolean namesItself;
     private boolean unresponsive;
     private boolean healthy = true;
     private boolean leaving;
@@ -251,7 +253,8 @@
                     .onComplete(nothing -> run.request.connection().close());
             return;
         }
-        response.write("id: " + event + "\ndata: token " + event + " of " + requestId(run.request) + "\n\n");
+        String origin = namesItself ? "worker: " + options.id() + "\n" : "";
+        response.write(origin + "id: " + event + "\ndata: token " + event + " of " + requestId(run.request) + "\n\n");
         if (event >= run.totalEvents) {
             batch.remove(run);
             response.end();
@@ -263,6 +266,7 @@
         failureRate = faults.getDouble("failShare", failureRate);
         lostAnswerShare = faults.getDouble("loseAnswerShare", lostAnswerShare);
         breakAfterEvents = faults.getInteger("breakAfterEvents", breakAfterEvents);
+        namesItself = faults.getBoolean("namesItself", namesItself);
         unresponsive = faults.getBoolean("silent", unresponsive);
         healthy = faults.getBoolean("healthy", healthy);
         leaving = faults.getBoolean("leaving", leaving);
