Let a stream go on only at the software version that began it

Cause: the version of a worker was not read, and no other node could know which one had begun a stream. Class of fault: a choice that has to agree with an earlier one, made without remembering it.

The node remembers the version of the worker that sent the first event, before it forwards that event, and tells it to three other nodes that rendezvous hashing of the stream's id selects; others take the place of those that do not answer. A node that gets a caller with a stream that it does not know asks the ten nodes of the highest ranks. Where nobody knows, the request is refused (event 441), not guessed. The store is not involved. A node remembers at most 20,000 streams.

A stream that goes on is bound neither to a lane, nor to the time of its objective, nor to the share of memory that prompts leave free, since few workers may have its version; it stays with a silent worker if no other has it. Its prefix is copied from workers of its version; new streams copy from any.

SoftwareVersionTest failed in all five cases and passes: 1, 8 and 11 nodes, a node that dies with the store away, unknown streams. StreamOriginSimulationTest plays the exchange with 1, 8 and 95 nodes in virtual time: no stream went on at a wrong version; 97 in 100 and more are known while nodes are replaced one by one, 75 and more after 60 in 100 died at once.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
@@ -35,6 +35,7 @@
                 "a",
                 homePriority.orElse(kind.priority()),
                 homePriority.isPresent(),
-                Set.of());
+                Set.of(),
+                "");
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -131,6 +131,9 @@
     UPSTREAM_LIMIT_ENDED(439, EventLevel.INFO, "A worker no longer limits the requests that it takes"),
     /** The permit to send a request to a worker with a rate limit expired before the request was sent. */
     PERMIT_EXPIRED(440, EventLevel.INFO, "A request was not sent, since its permit had expired"),
+    /** No node that answered knows which software version began a stream. */
+    STREAM_NOT_TAKEN_UP(
+            441, EventLevel.WARNING, "A stream was not taken up, since no node knows which version began it"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -18,6 +18,8 @@
  * @param homePriority the priority of the request if a home chooses, which knows what each worker has in flight; empty
  *     if a node chooses by itself
  * @param acceptsLate whether the fastest worker is to be chosen even if the objective will be missed there
+ * @param goesOn whether the request goes on with a stream that has begun, for which few workers may be left: neither
+ *     its lane nor the memory that prompts should leave free limits the choice
  * @param nowMillis the current time, in milliseconds
  */
 public record ChoiceRequest(
@@ -30,6 +32,7 @@
         Set<String> excludedWorkers,
         OptionalInt homePriority,
         boolean acceptsLate,
+        boolean goesOn,
         long nowMillis) {
 
     /** Makes an immutable copy of the set. */
@@ -43,6 +46,6 @@
      * long prompts.
      */
     boolean boundToLane() {
-        return homePriority.isPresent() && (lane == Lane.TOLERANT || !acceptsLate);
+        return !goesOn && homePriority.isPresent() && (lane == Lane.TOLERANT || !acceptsLate);
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -83,7 +83,8 @@
         Choice best = null;
         double bestMillis = Double.MAX_VALUE;
         for (UpstreamState worker : available) {
-            boolean maySpillOver = worker.lane() == request.lane()
+            boolean maySpillOver = request.goesOn()
+                    || worker.lane() == request.lane()
                     || request.lane() == Lane.SENSITIVE
                     || request.homePriority().isPresent();
             if (!maySpillOver || onlyHolders && !holds(request, worker)) {
@@ -164,7 +165,7 @@
 
     /** Returns whether the prompt would evict cached prefix segments. An idle worker accepts a prompt of any size. */
     private static boolean exceedsPromptKvShare(ChoiceRequest request, UpstreamState worker) {
-        if (request.lane() != Lane.TOLERANT || request.kvCapacityTokens() == 0) {
+        if (request.goesOn() || request.lane() != Lane.TOLERANT || request.kvCapacityTokens() == 0) {
             return false;
         }
         double occupiedTokens = worker.occupiedKvTokens(request.nowMillis());
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/Route.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/Route.java
@@ -55,4 +55,14 @@
         }
         return services.get(services.size() - 1).service();
     }
+
+    /**
+     * Returns whether requests may be forwarded to a service.
+     *
+     * @param service the name of the service
+     * @return whether the route leads to it
+     */
+    public boolean leadsTo(String service) {
+        return services.stream().anyMatch(weighted -> weighted.service().equals(service) && weighted.weight() > 0);
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
@@ -135,10 +135,11 @@
     }
 
     /**
-     * Chooses a worker for a request. Candidates are the workers that are not paused, for which a permit is available,
-     * below the connection limit, and either not ejected or due for a half-open probe; if there are none, all that are
-     * not paused and for which a permit is available. Workers already tried for the request are chosen only if no other
-     * can be. {@link #takePermit} has to be called for the chosen worker before the next choice.
+     * Chooses a worker for a request. Candidates are the workers of the demanded software version that are not paused,
+     * for which a permit is available, below the connection limit, and either not ejected or due for a half-open probe;
+     * if there are none, all that are not paused and for which a permit is available. Workers already tried for the
+     * request are chosen only if no other can be. {@link #takePermit} has to be called for the chosen worker before the
+     * next choice.
      *
      * @param demand what the request asks
      * @param nowMillis the current time, in milliseconds
@@ -161,7 +162,7 @@
     }
 
     private Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, boolean acceptsLate, long nowMillis) {
-        Collection<UpstreamState> candidates = candidates(demand.priority(), nowMillis);
+        Collection<UpstreamState> candidates = candidates(demand, nowMillis);
         Optional<UpstreamChooser.Choice> fresh =
                 choose(demand, demand.triedWorkers(), candidates, acceptsLate, nowMillis);
         return fresh.isPresent() || demand.triedWorkers().isEmpty()
@@ -180,11 +181,13 @@
     }
 
     /** Returns the candidates. A paused worker, or one without a permit, is none, even if there is no other. */
-    private Collection<UpstreamState> candidates(int priority, long nowMillis) {
+    private Collection<UpstreamState> candidates(WorkerDemand demand, long nowMillis) {
         List<UpstreamState> eligible = new ArrayList<>();
         List<UpstreamState> admissible = new ArrayList<>();
         for (UpstreamState worker : workers.values()) {
-            boolean admitted = worker.pauseMillis(nowMillis) == 0 && permits.available(worker.incarnation(), priority);
+            boolean admitted = demand.allows(worker.record())
+                    && worker.pauseMillis(nowMillis) == 0
+                    && permits.available(worker.incarnation(), demand.priority());
             if (!admitted) {
                 continue;
             }
@@ -196,6 +199,20 @@
         return eligible.isEmpty() ? admissible : eligible;
     }
 
+    /**
+     * Returns whether a stream may go on at another worker than the one that has it.
+     *
+     * @param softwareVersion the software version that began the stream, empty before its first event
+     * @param worker the worker that has it
+     * @return whether there is another worker of that version
+     */
+    public boolean mayGoOnElsewhere(String softwareVersion, UpstreamState worker) {
+        return softwareVersion.isEmpty()
+                || workers.values().stream()
+                        .anyMatch(other -> !other.equals(worker)
+                                && other.record().softwareVersion().equals(softwareVersion));
+    }
+
     /**
      * Takes the permit to send one request to a worker.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
@@ -15,6 +15,8 @@
  * @param priority its priority; 0 is the most urgent
  * @param atHome whether a home chooses the worker, not the node that forwards the request
  * @param triedWorkers the ids of the workers that it was sent to before, which are chosen only if no other can be
+ * @param softwareVersion the version of the software of the only workers that may be chosen, since they have to go on
+ *     with a stream that it began; empty if each may be chosen
  */
 public record WorkerDemand(
         PromptShape prompt,
@@ -24,7 +26,8 @@
         String dataCentre,
         int priority,
         boolean atHome,
-        Set<String> triedWorkers) {
+        Set<String> triedWorkers,
+        String softwareVersion) {
 
     /** Makes an immutable copy of the set. */
     public WorkerDemand {
@@ -40,6 +43,25 @@
         return atHome ? OptionalInt.of(priority) : OptionalInt.empty();
     }
 
+    /**
+     * Returns whether the request goes on with a stream that has begun.
+     *
+     * @return whether only workers of one software version may be chosen
+     */
+    public boolean goesOn() {
+        return !softwareVersion.isEmpty();
+    }
+
+    /**
+     * Returns whether a worker has the software version that the stream needs.
+     *
+     * @param worker the record of the worker
+     * @return whether it may be chosen
+     */
+    public boolean allows(UpstreamRecord worker) {
+        return !goesOn() || worker.softwareVersion().equals(softwareVersion);
+    }
+
     ChoiceRequest choiceRequest(
             long kvCapacityTokens, Set<String> excludedWorkers, boolean acceptsLate, long nowMillis) {
         return new ChoiceRequest(
@@ -51,7 +73,8 @@
                 kvCapacityTokens,
                 excludedWorkers,
                 homePriority(),
-                acceptsLate,
+                acceptsLate || goesOn(),
+                goesOn(),
                 nowMillis);
     }
 }
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/resume/package-info.java
@@ -0,0 +1,2 @@
+/** Which software version began a stream, so that it goes on at no other one. */
+package io.lagoonseam.core.resume;
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -45,6 +45,7 @@
                 Set.of(),
                 OptionalInt.empty(),
                 false,
+                false,
                 0);
     }
 
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -143,6 +143,7 @@
                                         Set.of(),
                                         OptionalInt.empty(),
                                         false,
+                                        false,
                                         nowMillis),
                                 List.of(request.worker));
                 if (choice.isPresent()) {
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -49,13 +49,22 @@
                 "a",
                 2,
                 true,
-                Set.of());
+                Set.of(),
+                "");
         return new PlacementRequest(new PlacementKey("n" + number % 95, number), 2, demand, nowMillis + 420);
     }
 
     private static PlacementRequest tip(long number, int priority, long nowMillis) {
         WorkerDemand demand = new WorkerDemand(
-                new PromptShape(7, 350, 1_400), Lane.SENSITIVE, 250, nowMillis + 250, "a", priority, true, Set.of());
+                new PromptShape(7, 350, 1_400),
+                Lane.SENSITIVE,
+                250,
+                nowMillis + 250,
+                "a",
+                priority,
+                true,
+                Set.of(),
+                "");
         return new PlacementRequest(new PlacementKey("n" + number % 95, number), priority, demand, nowMillis + 90);
     }
 
@@ -251,7 +260,7 @@
             }
             assertTrue(home.submit(digest(1, 5, 0), 0) instanceof PlacementDecision.Queued);
             WorkerDemand urgent =
-                    new WorkerDemand(new PromptShape(9, 0, 3_000), Lane.TOLERANT, 600, 600, "a", 1, true, Set.of());
+                    new WorkerDemand(new PromptShape(9, 0, 3_000), Lane.TOLERANT, 600, 600, "a", 1, true, Set.of(), "");
             granted(home.submit(new PlacementRequest(new PlacementKey("n1", 2), 1, urgent, 200), 0));
         }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -17,11 +17,13 @@
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.ratelimit.Permit;
 import io.lagoonseam.core.ratelimit.PermitSource;
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
+import io.lagoonseam.core.resume.StreamOriginSource;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.placement.PlacementClient;
@@ -72,6 +74,7 @@
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
     private final WorkerAnnouncements announcements;
     private PermitSource permits = PermitSource.UNLIMITED;
+    private StreamOriginSource origins = StreamOriginSource.NONE;
     private PlacementClient placement;
     private Runnable onWork = () -> {};
     private RoutingConfiguration configuration;
@@ -121,6 +124,20 @@
         this.permits = value;
     }
 
+    /** Sets what tells which software versions began streams. */
+    void origins(StreamOriginSource value) {
+        this.origins = value;
+    }
+
+    StreamOriginSource origins() {
+        return origins;
+    }
+
+    /** Returns whether a stream of a service may go on at another worker of the software version that began it. */
+    boolean mayGoOnElsewhere(String service, String softwareVersion, UpstreamState worker) {
+        return queue(service).workers().mayGoOnElsewhere(softwareVersion, worker);
+    }
+
     /** Applies the configuration in force to the workers of a service that this node places requests on as a home. */
     void configureHome(String service, ServiceWorkers workers) {
         if (configuration != null) {
@@ -338,10 +355,12 @@
 
     /**
      * Returns the choice that a home has made, in terms of this node's view of the workers; empty if this node does not
-     * know the worker, or knows that it is leaving or paused, or that it has a rate limit that the home does not know.
+     * know the worker, or knows that it is leaving or paused, that it has a rate limit that the home does not know, or
+     * that it does not meet the demand.
      */
-    Optional<UpstreamChooser.Choice> choice(PlacementDecision.Granted granted) {
+    Optional<UpstreamChooser.Choice> choice(PlacementDecision.Granted granted, WorkerDemand demand) {
         return worker(granted.workerId())
+                .filter(worker -> demand.allows(worker.record()))
                 .filter(worker -> worker.pauseMillis(time.monotonicMillis()) == 0)
                 .filter(worker -> granted.permitted() || !limited(worker))
                 .map(worker -> new UpstreamChooser.Choice(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -15,6 +15,7 @@
 import io.lagoonseam.entry.placement.PlacementClient;
 import io.lagoonseam.entry.ratelimit.PermitClient;
 import io.lagoonseam.entry.ratelimit.PermitServer;
+import io.lagoonseam.entry.resume.StreamOriginExchange;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.store.CollectionFollower;
 import io.lagoonseam.entry.store.CollectionStore;
@@ -73,6 +74,7 @@
     private final IssuerStanding issuerStanding;
     private final PermitServer permitServer;
     private final PermitClient permits;
+    private final StreamOriginExchange origins;
     private final DispatchTicker ticker;
     private final VertxPeerTransport transport;
     private final List<CollectionFollower> followers;
@@ -140,6 +142,9 @@
                 issuerStanding,
                 announcements::applyLimit);
         dispatcher.permits(permits);
+        this.origins = newOriginExchange();
+        dispatcher.origins(origins);
+        addGauges(metrics);
         this.homes = new HomeServer(
                 new HomeServer.Environment(
                         vertx,
@@ -190,9 +195,13 @@
         metrics.gauge("placement.requests_waiting", placement::waitingRequests);
         metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
+        this.followers = newFollowers(store);
+    }
+
+    private List<CollectionFollower> newFollowers(CollectionStore store) {
         LongSupplier longPollTimeoutMillis = () -> WatchPolicy.longPollTimeoutMillis(dispatcher.nodeCount());
         LongSupplier gatherMillis = () -> WatchPolicy.gatherMillis(dispatcher.nodeCount());
-        this.followers = List.of(
+        return List.of(
                 follower(
                         store,
                         CollectionStore.CONFIGURATION,
@@ -213,6 +222,26 @@
                                 true)));
     }
 
+    private void addGauges(RequestMetrics metrics) {
+        metrics.gauge("requests.in_flight", front::inFlight);
+        metrics.gauge(
+                "answers.buffered_bytes", () -> (int) dispatcher.answerBuffers().bytes());
+        metrics.gauge("nodes.alive", dispatcher::nodeCount);
+        metrics.gauge("workers.serving", () -> dispatcher.workers().size());
+        metrics.gauge("streams.remembered", origins::size);
+    }
+
+    private StreamOriginExchange newOriginExchange() {
+        Vertx vertx = environment.vertx();
+        return new StreamOriginExchange(new StreamOriginExchange.Environment(
+                environment.time(),
+                transport,
+                task -> vertx.runOnContext(nothing -> task.run()),
+                (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
+                nodes::others,
+                nodes::listed));
+    }
+
     private CollectionFollower follower(
             CollectionStore store,
             String collection,
@@ -283,6 +312,7 @@
 
     private void onCleanup() {
         directory.expire(environment.time().monotonicMillis());
+        origins.expire();
         dispatcher.refresh();
         forgetLimitsOfGoneWorkers();
         dispatcher.closeExpiredConnections();
@@ -321,6 +351,7 @@
         nodes.deregister();
         homes.stop();
         permitServer.stop();
+        origins.handOver();
         environment.vertx().setTimer(BALANCER_GRACE_MILLIS, timer -> {
             front.stopAccepting();
             environment.vertx().setPeriodic(STOP_POLL_MILLIS, pollTimer -> {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -14,6 +14,8 @@
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.ratelimit.Permit;
+import io.lagoonseam.core.resume.StreamKey;
+import io.lagoonseam.core.resume.StreamOrigin;
 import io.lagoonseam.core.time.TimeReading;
 import io.lagoonseam.entry.placement.PlacedRequest;
 import io.lagoonseam.entry.placement.Placement;
@@ -56,6 +58,11 @@
     /** How long the permit of a home may be used after it has arrived, in milliseconds. */
     private static final long HOME_PERMIT_LIFETIME_MILLIS = 500;
 
+    /** How long a stream is remembered after its first event, in milliseconds, if its timeout is not longer. */
+    private static final long MIN_ORIGIN_LIFETIME_MILLIS = 30_000;
+
+    private static final long MAX_ORIGIN_LIFETIME_MILLIS = 600_000;
+
     private static final String MISSING_SEAL = "a success without the worker's mark";
 
     private static final int MIN_SUCCESS_STATUS = 200;
@@ -78,6 +85,11 @@
     private EventSplitter splitter = new EventSplitter();
     private Buffer bufferedBody = Buffer.buffer();
     private String lastEventId;
+    /** The software version that began the stream, empty before the first event, or if it is not known. */
+    private String softwareVersion;
+
+    private String sentVersion = "";
+    private boolean begun;
     private long heldBytes;
     private UpstreamAttempt attempt;
     private UpstreamState worker;
@@ -110,6 +122,8 @@
      * @param homeLane the latency lane at the service if its home chooses the worker
      * @param service the name of the service
      * @param workspace the workspace, empty for an anonymous request
+     * @param stream identifies the stream if the route streams
+     * @param softwareVersion the software version that began the stream, empty for a stream that begins
      * @param priority the rank of the request, 0 is the most urgent
      */
     record AdmittedRequest(
@@ -119,6 +133,8 @@
             Lane homeLane,
             String service,
             String workspace,
+            StreamKey stream,
+            String softwareVersion,
             int priority) {}
 
     ForwardedRequest(
@@ -140,6 +156,7 @@
         this.log = new RequestLog(environment, metrics, admitted, arrivedMillis);
         this.onDone = onDone;
         this.lastEventId = admitted.callerHeaders().lastEventId();
+        this.softwareVersion = admitted.softwareVersion();
         long callerTimeoutMillis = admitted.callerHeaders().timeoutMillis();
         long timeoutMillis = admitted.route().timeoutMillis();
         this.deadlineMillis = arrivedMillis
@@ -183,7 +200,8 @@
                 environment.settings().dataCentre(),
                 priority(),
                 atHome,
-                triedWorkers);
+                triedWorkers,
+                softwareVersion);
     }
 
     /** Returns whether the request has not been sent and not been ended. */
@@ -195,6 +213,11 @@
         return admitted.route().kind();
     }
 
+    /** Returns the kind of what is left of the work: a stream of unknown version cannot go on elsewhere. */
+    private WorkKind remainingKind() {
+        return begun && softwareVersion.isEmpty() ? WorkKind.STREAM : kind();
+    }
+
     private long nowMillis() {
         return environment.time().monotonicMillis();
     }
@@ -230,7 +253,7 @@
 
     @Override
     public void onGranted(PlacementDecision.Granted granted, Placement granting) {
-        Optional<UpstreamChooser.Choice> choice = dispatcher.choice(granted);
+        Optional<UpstreamChooser.Choice> choice = dispatcher.choice(granted, demand());
         if (choice.isEmpty()) {
             granting.ended();
             dispatcher.submitLocally(this, queueDeadlineMillis);
@@ -266,6 +289,7 @@
         permit = taken;
         placement = granting;
         worker = choice.worker();
+        sentVersion = worker.record().softwareVersion();
         Optional<WorkerConnections> connections =
                 dispatcher.connections(worker.record().id());
         tokensAhead = tokensBefore;
@@ -345,7 +369,9 @@
             return;
         }
         boolean attemptsLeft = runs < admitted.route().maxAttempts() && remainingMillis() > 0;
-        if (!attemptsLeft || !tryTakeRetry()) {
+        boolean mayGoOn =
+                remainingKind().retryable() && dispatcher.mayGoOnElsewhere(service(), softwareVersion, worker);
+        if (!attemptsLeft || !mayGoOn || !tryTakeRetry()) {
             // if no retry is possible, keep waiting: a late response is better than none
             return;
         }
@@ -420,6 +446,9 @@
         if (!splitter.lastId().isEmpty()) {
             lastEventId = splitter.lastId();
         }
+        if (progressed && !begun) {
+            begin();
+        }
         callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
         if (!callerResponse.writeEvents(events, this::onCallerDrained)) {
             // the worker is not silent while this node does not read from it
@@ -430,6 +459,27 @@
         }
     }
 
+    /** Records which software version began the stream, before the first event is forwarded. */
+    private void begin() {
+        begun = true;
+        if (softwareVersion.isEmpty() && worker.record().softwareVersion().equals(sentVersion)) {
+            softwareVersion = sentVersion;
+        }
+        if (kind().retryable()) {
+            long lifetimeMillis = Math.max(
+                    MIN_ORIGIN_LIFETIME_MILLIS,
+                    Math.max(
+                            admitted.callerHeaders().timeoutMillis(),
+                            admitted.route().timeoutMillis()));
+            dispatcher
+                    .origins()
+                    .began(
+                            admitted.stream(),
+                            new StreamOrigin(service(), softwareVersion),
+                            Math.min(lifetimeMillis, MAX_ORIGIN_LIFETIME_MILLIS));
+        }
+    }
+
     private void onCallerDrained() {
         if (attempt != null) {
             attempt.resume();
@@ -533,7 +583,7 @@
             return;
         }
         AttemptPolicy.History history = new AttemptPolicy.History(
-                kind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, remainingMillis());
+                remainingKind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, remainingMillis());
         NextStep step = AttemptPolicy.next(result, history, this::tryTakeRetry);
         switch (step) {
             case RETRY -> {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -6,6 +6,8 @@
 import io.lagoonseam.core.forward.Route;
 import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.StopPolicy;
+import io.lagoonseam.core.resume.StreamKey;
+import io.lagoonseam.core.resume.StreamOrigin;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.netty.channel.Channel;
 import io.vertx.core.Future;
@@ -109,6 +111,22 @@
         private long idleSinceMillis;
     }
 
+    /**
+     * What is known of a request that may be forwarded.
+     *
+     * @param callerHeaders the evaluated header fields of the caller
+     * @param configuration the configuration in force
+     * @param route the route of the request
+     * @param workspace the workspace, empty for an anonymous request
+     * @param priority the rank of the request, 0 is the most urgent
+     */
+    private record Admission(
+            CallerRequestHeaders callerHeaders,
+            RoutingConfiguration configuration,
+            Route route,
+            String workspace,
+            int priority) {}
+
     FrontServer(
             ForwardEnvironment environment,
             ForwardDispatcher dispatcher,
@@ -343,19 +361,59 @@
                             ? Optional.of(found.priority().getAsInt())
                             : Optional.empty())
                     .orElse(route.get().priority());
-            String service = route.get().selectService(environment.random().nextDouble());
+            String workspace = keyWorkspace.map(KeyWorkspace::workspace).orElse("");
+            Admission admission = new Admission(callerHeaders, current.get(), route.get(), workspace, priority);
+            if (route.get().kind().stream() && !callerHeaders.lastEventId().isEmpty()) {
+                takeUp(admission);
+            } else {
+                String service = route.get().selectService(environment.random().nextDouble());
+                forward(admission, new StreamKey(workspace, callerHeaders.requestId()), service, "");
+            }
+        }
+
+        /** Has a stream that the caller takes up go on at the service and software version that began it. */
+        private void takeUp(Admission admission) {
+            StreamKey stream = new StreamKey(
+                    admission.workspace(), admission.callerHeaders().resumedRequestId());
+            dispatcher.origins().find(stream).thenAccept(found -> {
+                Optional<StreamOrigin> origin =
+                        found.filter(known -> admission.route().leadsTo(known.service()));
+                if (request.response().closed()) {
+                    onResponded();
+                } else if (origin.isPresent()) {
+                    StreamOrigin known = origin.get();
+                    forward(admission, stream, known.service(), known.softwareVersion());
+                } else {
+                    environment
+                            .events()
+                            .recordDecision(
+                                    EventCode.STREAM_NOT_TAKEN_UP,
+                                    admission.callerHeaders().requestId(),
+                                    "resumes",
+                                    stream.requestId(),
+                                    "last_event",
+                                    admission.callerHeaders().lastEventId());
+                    reject(admission.callerHeaders(), SERVICE_UNAVAILABLE, UNAVAILABLE_RETRY_MILLIS);
+                }
+            });
+        }
+
+        private void forward(Admission admission, StreamKey stream, String service, String softwareVersion) {
+            Route route = admission.route();
             new ForwardedRequest(
                             environment,
                             dispatcher,
                             metrics,
                             new ForwardedRequest.AdmittedRequest(
-                                    callerHeaders,
-                                    route.get(),
-                                    current.get().lanes().lane(route.get(), service),
-                                    current.get().lanes().homeLane(route.get(), service),
+                                    admission.callerHeaders(),
+                                    route,
+                                    admission.configuration().lanes().lane(route, service),
+                                    admission.configuration().lanes().homeLane(route, service),
                                     service,
-                                    keyWorkspace.map(KeyWorkspace::workspace).orElse(""),
-                                    priority),
+                                    admission.workspace(),
+                                    stream,
+                                    softwareVersion,
+                                    admission.priority()),
                             request,
                             body,
                             arrivedMillis,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -234,6 +234,18 @@
         }
     }
 
+    /** Returns the ids of the other nodes that may remember a stream, whether they respond or not. */
+    List<String> others() {
+        List<String> others = new ArrayList<>(homesPlace() ? capacities.keySet() : nodes.keySet());
+        others.remove(ownId());
+        return others;
+    }
+
+    /** Returns whether the registrations of all nodes have been read from the store. */
+    boolean listed() {
+        return listed;
+    }
+
     /** Returns whether there are so many nodes that homes place requests. */
     boolean homesPlace() {
         return !capacities.isEmpty();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
@@ -190,7 +190,8 @@
                 demand.objectiveMillis(),
                 Math.max(0, demand.objectiveEndMillis() - nowMillis()),
                 waitMillis,
-                List.copyOf(demand.triedWorkers()))));
+                List.copyOf(demand.triedWorkers()),
+                demand.softwareVersion())));
     }
 
     void withdraw(PlacedRequest request) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
@@ -200,7 +200,8 @@
                     batch.dataCentre(),
                     ask.priority(),
                     true,
-                    Set.copyOf(ask.triedWorkers()));
+                    Set.copyOf(ask.triedWorkers()),
+                    ask.softwareVersion());
             PlacementRequest request = new PlacementRequest(
                     new PlacementKey(sender, ask.number()), ask.priority(), demand, nowMillis + ask.waitMillis());
             decisions.add(new Decided(ask.number(), home.submit(request, nowMillis)));
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/package-info.java
@@ -0,0 +1,2 @@
+/** Exchanges with other nodes which software versions began streams. */
+package io.lagoonseam.entry.resume;
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/placement/LateDecisionTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/placement/LateDecisionTest.java
@@ -85,7 +85,7 @@
         @Override
         public WorkerDemand demand() {
             return new WorkerDemand(
-                    new PromptShape(0, 0, 0), Lane.TOLERANT, 300, monotonicMillis + 300, "a", 1, true, Set.of());
+                    new PromptShape(0, 0, 0), Lane.TOLERANT, 300, monotonicMillis + 300, "a", 1, true, Set.of(), "");
         }
 
         @Override
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -67,5 +67,11 @@
      */
     public static final int PERMIT = 74;
 
+    /** Tells what began streams: {@link StreamOriginMessages.Tell}, answered by an empty message. */
+    public static final int STREAM_ORIGIN = 75;
+
+    /** Asks what began a stream: {@link StreamOriginMessages.Ask}, answered by {@link StreamOriginMessages.Tell}. */
+    public static final int STREAM_ORIGIN_ASK = 76;
+
     private MessageTypes() {}
 }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/PlacementMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/PlacementMessages.java
@@ -13,7 +13,7 @@
  */
 public final class PlacementMessages {
 
-    private static final int VERSION = 2;
+    private static final int VERSION = 3;
 
     private static final int GRANTED = 0;
     private static final int QUEUED = 1;
@@ -32,6 +32,7 @@
      * @param objectiveLeftMillis the remaining time of the objective, in milliseconds
      * @param waitMillis the longest time that it may wait at the home, in milliseconds
      * @param triedWorkers the ids of the workers that it was sent to before
+     * @param softwareVersion the version of the software of the only workers that may be chosen, empty if each may be
      */
     public record Ask(
             long number,
@@ -41,7 +42,8 @@
             long objectiveMillis,
             long objectiveLeftMillis,
             long waitMillis,
-            List<String> triedWorkers) {
+            List<String> triedWorkers,
+            String softwareVersion) {
 
         /** Copies the list. */
         public Ask {
@@ -58,7 +60,8 @@
                     .number(ask.objectiveMillis)
                     .number(ask.objectiveLeftMillis)
                     .number(ask.waitMillis)
-                    .list(ask.triedWorkers);
+                    .list(ask.triedWorkers)
+                    .text(ask.softwareVersion);
         }
 
         private static Ask read(MessageReader reader) {
@@ -70,7 +73,8 @@
                     reader.number(),
                     reader.number(),
                     reader.number(),
-                    reader.list());
+                    reader.list(),
+                    reader.text());
         }
     }
 
--- /dev/null
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/StreamOriginMessages.java
@@ -0,0 +1,106 @@
+package io.lagoonseam.wire;
+
+import io.lagoonseam.core.resume.StreamKey;
+import io.lagoonseam.core.resume.StreamOrigin;
+import java.util.List;
+
+/** The messages between nodes about the software versions that began streams. Each begins with its format version. */
+public final class StreamOriginMessages {
+
+    private static final int VERSION = 1;
+
+    private StreamOriginMessages() {}
+
+    /**
+     * What began a stream.
+     *
+     * @param stream the stream
+     * @param origin what began it
+     * @param lifetimeMillis how long it is to be remembered, in milliseconds
+     */
+    public record Entry(StreamKey stream, StreamOrigin origin, long lifetimeMillis) {
+
+        private static void write(MessageWriter writer, Entry entry) {
+            writer.text(entry.stream.workspace())
+                    .text(entry.stream.requestId())
+                    .text(entry.origin.service())
+                    .text(entry.origin.softwareVersion())
+                    .number(entry.lifetimeMillis);
+        }
+
+        private static Entry read(MessageReader reader) {
+            return new Entry(
+                    new StreamKey(reader.text(), reader.text()),
+                    new StreamOrigin(reader.text(), reader.text()),
+                    reader.number());
+        }
+    }
+
+    /**
+     * Tells what began streams; answered by an empty message. Also the answer to {@link Ask}, with one entry, or none
+     * if the stream is not known.
+     *
+     * @param entries the streams
+     */
+    public record Tell(List<Entry> entries) {
+
+        /** Copies the list. */
+        public Tell {
+            entries = List.copyOf(entries);
+        }
+
+        /**
+         * Encodes the message.
+         *
+         * @return MessagePack
+         */
+        public byte[] encode() {
+            return new MessageWriter(VERSION).items(entries, Entry::write).bytes();
+        }
+
+        /**
+         * Decodes a message.
+         *
+         * @param payload MessagePack
+         * @return the message
+         * @throws IllegalArgumentException if the bytes are not a message of this version
+         */
+        public static Tell decode(byte[] payload) {
+            return new Tell(new MessageReader(payload, VERSION).items(Entry::read));
+        }
+    }
+
+    /**
+     * Asks what began a stream.
+     *
+     * @param stream the stream
+     * @param relayed whether the receiver asks other nodes if it does not know, since the sender knows few nodes
+     */
+    public record Ask(StreamKey stream, boolean relayed) {
+
+        /**
+         * Encodes the message.
+         *
+         * @return MessagePack
+         */
+        public byte[] encode() {
+            return new MessageWriter(VERSION)
+                    .text(stream.workspace())
+                    .text(stream.requestId())
+                    .flag(relayed)
+                    .bytes();
+        }
+
+        /**
+         * Decodes a message.
+         *
+         * @param payload MessagePack
+         * @return the message
+         * @throws IllegalArgumentException if the bytes are not a message of this version
+         */
+        public static Ask decode(byte[] payload) {
+            MessageReader reader = new MessageReader(payload, VERSION);
+            return new Ask(new StreamKey(reader.text(), reader.text()), reader.flag());
+        }
+    }
+}
