Let a stream that nobody remembers go on if its service has had one version only, and wait for a slot

Cause: what began a stream was taken to be known only from memory of that stream, and a stream that goes on waited as briefly for a slot as one that begins.

Nodes now remember which versions each service has had, and since when each route leads to its service. If the nodes that answer have together seen one version only for longer than streams of the route last, the stream began at that one. A node that stood still, or has not run for that long, does not know; a worker of unknown version, or a second one, ends the knowledge. A stream that has begun waits at least a second for a slot, half of the gap after which callers abandon it.

--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/SoftwareVersionTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/SoftwareVersionTest.java
@@ -227,4 +227,37 @@
         assertEquals(caller.status, 503);
         workers.forEach(worker -> assertEquals(worker.recordedRequests(), List.of()));
     }
+
+    /**
+     * Such callers do not name the stream; its service has had one version for longer than streams of the route last.
+     */
+    @Test
+    public void aStreamThatIsNotNamedGoesOnIfItsServiceHasHadOneVersionOnly() throws Exception {
+        deployment.configure(PlatformFixtures.route(LocalDeployment.HOST, "brief", "/brief/", "streaming", "llm", 700)
+                .put("stream_resume", true)
+                .put("sticky_sessions", true));
+        workers.add(deployment.startWorker("llm", "v1", WorkerOptions.engine("e0-v1")));
+        startNodes(8);
+        assertEquals(takeUpBriefly(nodes.get(0)), 503);
+        LocalDeployment.awaitThat(
+                "the version has been the only one for long enough", () -> takeUpBriefly(nodes.get(0)) == 200);
+        workers.add(deployment.startWorker("llm", "v1.1", WorkerOptions.engine("e1-v1.1")));
+        LocalDeployment.awaitThat(
+                "the other version is known",
+                () -> nodes.get(0).metrics(deployment.client()).contains("workers.serving 2"));
+        assertEquals(takeUpBriefly(nodes.get(0)), 503);
+    }
+
+    private int takeUpBriefly(LocalDeployment.Node node) {
+        HttpRequest.Builder request = deployment.request(node, "/brief/x", "brief");
+        PlatformFixtures.promptHeaders("a", "b").forEach(request::header);
+        request.setHeader("X-Deadline-Ms", "700").header("Last-Event-Id", "3");
+        try {
+            return deployment.send(request.build()).statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
@@ -217,6 +217,15 @@
         return record.leaving() || leaving != null && leaving.startMillis() == record.startMillis();
     }
 
+    /**
+     * Returns all workers that are known, also those that are leaving.
+     *
+     * @return their records
+     */
+    public List<UpstreamRecord> known() {
+        return known.values().stream().map(entry -> entry.record).toList();
+    }
+
     /**
      * Returns the workers that accept new requests.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/resume/StreamOriginSource.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/resume/StreamOriginSource.java
@@ -13,7 +13,7 @@
         public void began(StreamKey stream, StreamOrigin origin, long lifetimeMillis) {}
 
         @Override
-        public CompletionStage<Optional<StreamOrigin>> find(StreamKey stream) {
+        public CompletionStage<Optional<StreamOrigin>> find(StreamKey stream, ServiceWindow window) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
     };
@@ -31,7 +31,9 @@
      * Finds out what began a stream.
      *
      * @param stream the stream
-     * @return completes with the origin, empty if no node that answers in time knows it; never completes exceptionally
+     * @param window where it began, for a stream that no node knows: if the service has had only one software version
+     *     since, it began at that one
+     * @return completes with the origin, empty if no node that answers in time can tell; never completes exceptionally
      */
-    CompletionStage<Optional<StreamOrigin>> find(StreamKey stream);
+    CompletionStage<Optional<StreamOrigin>> find(StreamKey stream, ServiceWindow window);
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -23,7 +23,11 @@
 import io.lagoonseam.core.ratelimit.Permit;
 import io.lagoonseam.core.ratelimit.PermitSource;
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
+import io.lagoonseam.core.resume.RouteHistory;
+import io.lagoonseam.core.resume.ServiceWindow;
 import io.lagoonseam.core.resume.StreamOriginSource;
+import io.lagoonseam.core.resume.VersionHistory;
+import io.lagoonseam.core.resume.VersionHistory.Versions;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.placement.PlacementClient;
@@ -74,6 +78,8 @@
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
     private final WorkerAnnouncements announcements;
     private PermitSource permits = PermitSource.UNLIMITED;
+    private final VersionHistory versionHistory = new VersionHistory();
+    private final RouteHistory routeHistory = new RouteHistory();
     private StreamOriginSource origins = StreamOriginSource.NONE;
     private PlacementClient placement;
     private Runnable onWork = () -> {};
@@ -124,6 +130,18 @@
         this.permits = value;
     }
 
+    /** Records the software versions of the known workers; called several times a second once they are known. */
+    void observeVersions() {
+        versionHistory.observe(directory.known(), time.monotonicMillis());
+    }
+
+    /** Returns the software versions that a service has had, complete if its route has led nowhere else meanwhile. */
+    Versions observedVersions(ServiceWindow window) {
+        long nowMillis = time.monotonicMillis();
+        Versions seen = versionHistory.versions(window.service(), window.windowMillis(), nowMillis);
+        return new Versions(seen.complete() && routeHistory.ledOnlyTo(window, nowMillis), seen.versions());
+    }
+
     /** Sets what tells which software versions began streams. */
     void origins(StreamOriginSource value) {
         this.origins = value;
@@ -133,6 +151,16 @@
         return origins;
     }
 
+    /**
+     * Returns whether what a worker sends comes from the software version that it had when the request was sent: not if
+     * it has started again under its id since.
+     */
+    boolean stillHasVersion(UpstreamState worker, String softwareVersion) {
+        boolean startedAgain =
+                worker(worker.record().id()).filter(now -> !now.equals(worker)).isPresent();
+        return !startedAgain && worker.record().softwareVersion().equals(softwareVersion);
+    }
+
     /** Returns whether a stream of a service may go on at another worker of the software version that began it. */
     boolean mayGoOnElsewhere(String service, String softwareVersion, UpstreamState worker) {
         return queue(service).workers().mayGoOnElsewhere(softwareVersion, worker);
@@ -156,6 +184,7 @@
     /** Applies a configuration. */
     void configure(RoutingConfiguration value) {
         this.configuration = value;
+        routeHistory.observe(value.routes().all(), time.monotonicMillis());
         configureQueues();
         refresh();
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -239,7 +239,8 @@
                 task -> vertx.runOnContext(nothing -> task.run()),
                 (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
                 nodes::others,
-                nodes::listed));
+                nodes::listed,
+                dispatcher::observedVersions));
     }
 
     private CollectionFollower follower(
@@ -287,6 +288,7 @@
     }
 
     private void onUpstreams() {
+        dispatcher.observeVersions();
         dispatcher.refresh();
         homes.refresh();
     }
@@ -313,6 +315,9 @@
     private void onCleanup() {
         directory.expire(environment.time().monotonicMillis());
         origins.expire();
+        if (storeReplica.upstreamRevision() >= 0) {
+            dispatcher.observeVersions();
+        }
         dispatcher.refresh();
         forgetLimitsOfGoneWorkers();
         dispatcher.closeExpiredConnections();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -43,6 +43,12 @@
     /** Share of the latency objective that a request waits for a slot before it is refused. */
     private static final double SLOT_WAIT_SHARE = 0.35;
 
+    /**
+     * Minimum time that a stream which has begun waits for a slot, in milliseconds: half of the shortest gap after
+     * which callers abandon a stream, since few workers may have its version.
+     */
+    private static final long GOING_ON_WAIT_MILLIS = 1_000;
+
     /** Share of the latency objective that a request waits if this node knows no worker. */
     private static final double NO_WORKER_WAIT_SHARE = 0.12;
 
@@ -240,7 +246,8 @@
     private void submit() {
         queued = true;
         double share = dispatcher.workers().isEmpty() ? NO_WORKER_WAIT_SHARE : SLOT_WAIT_SHARE;
-        long waitMillis = Math.round(share * admitted.route().objectiveMillis());
+        long slotWaitMillis = Math.round(share * admitted.route().objectiveMillis());
+        long waitMillis = softwareVersion.isEmpty() ? slotWaitMillis : Math.max(slotWaitMillis, GOING_ON_WAIT_MILLIS);
         queueDeadlineMillis = Math.min(deadlineMillis, nowMillis() + waitMillis);
         dispatcher.submit(this, queueDeadlineMillis);
     }
@@ -462,7 +469,7 @@
     /** Records which software version began the stream, before the first event is forwarded. */
     private void begin() {
         begun = true;
-        if (softwareVersion.isEmpty() && worker.record().softwareVersion().equals(sentVersion)) {
+        if (softwareVersion.isEmpty() && dispatcher.stillHasVersion(worker, sentVersion)) {
             softwareVersion = sentVersion;
         }
         if (kind().retryable()) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -6,6 +6,8 @@
 import io.lagoonseam.core.forward.Route;
 import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.StopPolicy;
+import io.lagoonseam.core.resume.RouteHistory;
+import io.lagoonseam.core.resume.ServiceWindow;
 import io.lagoonseam.core.resume.StreamKey;
 import io.lagoonseam.core.resume.StreamOrigin;
 import io.lagoonseam.entry.settings.ListenAddress;
@@ -375,7 +377,9 @@
         private void takeUp(Admission admission) {
             StreamKey stream = new StreamKey(
                     admission.workspace(), admission.callerHeaders().resumedRequestId());
-            dispatcher.origins().find(stream).thenAccept(found -> {
+            ServiceWindow window = RouteHistory.window(
+                    admission.route(), admission.callerHeaders().timeoutMillis());
+            dispatcher.origins().find(stream, window).thenAccept(found -> {
                 Optional<StreamOrigin> origin =
                         found.filter(known -> admission.route().leadsTo(known.service()));
                 if (request.response().closed()) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/StreamOriginExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/StreamOriginExchange.java
@@ -3,12 +3,15 @@
 import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
+import io.lagoonseam.core.resume.ServiceWindow;
 import io.lagoonseam.core.resume.StreamKey;
 import io.lagoonseam.core.resume.StreamOrigin;
 import io.lagoonseam.core.resume.StreamOriginSource;
 import io.lagoonseam.core.resume.StreamOrigins;
+import io.lagoonseam.core.resume.VersionHistory.Versions;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.wire.MessageTypes;
+import io.lagoonseam.wire.StreamOriginMessages.Answer;
 import io.lagoonseam.wire.StreamOriginMessages.Ask;
 import io.lagoonseam.wire.StreamOriginMessages.Entry;
 import io.lagoonseam.wire.StreamOriginMessages.Tell;
@@ -20,13 +23,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
  * Remembers which software versions began the streams of this node, has some other nodes remember them too, and asks
  * those about a stream that this node does not know. Rendezvous hashing selects the nodes for each stream, so that the
- * messages of a node do not grow with the number of nodes. The store is not involved. Not thread-safe: all calls and
- * callbacks run on one event loop.
+ * messages of a node do not grow with the number of nodes. A stream that none of them knows began at the only version
+ * that its service has had for longer than it may last, if there was only one. The store is not involved. Not
+ * thread-safe: all calls and callbacks run on one event loop.
  */
 public final class StreamOriginExchange implements StreamOriginSource {
 
@@ -78,6 +83,8 @@
      * @param timers runs tasks later
      * @param otherNodes returns the ids of the other nodes
      * @param knowsAllNodes returns whether all registered nodes are among them
+     * @param observed returns the software versions that a service has had, complete only if its route has led nowhere
+     *     else
      */
     public record Environment(
             TimeSource time,
@@ -85,7 +92,8 @@
             Executor eventLoop,
             Timers timers,
             Supplier<List<String>> otherNodes,
-            Supplier<Boolean> knowsAllNodes) {}
+            Supplier<Boolean> knowsAllNodes,
+            Function<ServiceWindow, Versions> observed) {}
 
     /**
      * Creates an exchange that remembers nothing.
@@ -102,7 +110,7 @@
                 .transport()
                 .register(
                         MessageTypes.STREAM_ORIGIN_ASK,
-                        (sender, payload) -> answer(Ask.decode(payload)).thenApply(Tell::encode));
+                        (sender, payload) -> answer(Ask.decode(payload)).thenApply(Answer::encode));
     }
 
     private long nowMillis() {
@@ -201,20 +209,35 @@
     }
 
     @Override
-    public CompletionStage<Optional<StreamOrigin>> find(StreamKey stream) {
-        return find(stream, !environment.knowsAllNodes().get());
+    public CompletionStage<Optional<StreamOrigin>> find(StreamKey stream, ServiceWindow window) {
+        return search(stream, window, !environment.knowsAllNodes().get()).thenApply(found -> {
+            String only = found.versions().only();
+            return found.entries().stream()
+                    .findFirst()
+                    .map(Entry::origin)
+                    .or(() -> Optional.of(new StreamOrigin(window.service(), only))
+                            .filter(origin -> !origin.service().isEmpty() && !only.isEmpty()));
+        });
+    }
+
+    private Answer own(StreamKey stream, ServiceWindow window) {
+        return new Answer(
+                entry(stream).map(List::of).orElse(List.of()),
+                environment.observed().apply(window));
     }
 
-    private CompletionStage<Optional<StreamOrigin>> find(StreamKey stream, boolean relayed) {
-        Optional<StreamOrigin> known = origins.find(stream, nowMillis());
+    /** Returns what this node and the others know; as soon as one knows the stream, or when all have answered. */
+    private CompletionStage<Answer> search(StreamKey stream, ServiceWindow window, boolean relayed) {
+        Answer own = own(stream, window);
         List<String> nodes = ranked(stream);
-        if (known.isPresent() || !stream.memorable() || nodes.isEmpty()) {
-            return CompletableFuture.completedFuture(known);
+        if (!own.entries().isEmpty() || nodes.isEmpty()) {
+            return CompletableFuture.completedFuture(own);
         }
-        CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
+        CompletableFuture<Answer> found = new CompletableFuture<>();
         List<String> asked = nodes.subList(0, Math.min(ASKED_NODES, nodes.size()));
         int[] unanswered = {asked.size()};
-        byte[] ask = new Ask(stream, relayed).encode();
+        Versions[] versions = {own.versions()};
+        byte[] ask = new Ask(stream, window, relayed).encode();
         long timeoutMillis = relayed ? RELAYED_ASK_TIMEOUT_MILLIS : ASK_TIMEOUT_MILLIS;
         for (String node : asked) {
             environment
@@ -222,33 +245,34 @@
                     .request(node, MessageTypes.STREAM_ORIGIN_ASK, ask, timeoutMillis)
                     .thenAccept(reply -> environment.eventLoop().execute(() -> {
                         unanswered[0]--;
-                        entries(reply).forEach(this::remember);
-                        Optional<StreamOrigin> origin = origins.find(stream, nowMillis());
-                        if (origin.isPresent() || unanswered[0] == 0) {
-                            found.complete(origin);
+                        decode(reply).ifPresent(answer -> {
+                            answer.entries().forEach(this::remember);
+                            versions[0] = versions[0].plus(answer.versions());
+                        });
+                        if (entry(stream).isPresent() || unanswered[0] == 0) {
+                            found.complete(
+                                    new Answer(entry(stream).map(List::of).orElse(List.of()), versions[0]));
                         }
                     }));
         }
         return found;
     }
 
-    /** Returns what a node knows; nothing if it has not answered, or with a message that cannot be read. */
-    private static List<Entry> entries(PeerReply reply) {
+    /** Returns what a node knows, empty if it has not answered, or with a message that cannot be read. */
+    private static Optional<Answer> decode(PeerReply reply) {
         try {
             return reply instanceof PeerReply.Answered answered
-                    ? Tell.decode(answered.payload()).entries()
-                    : List.of();
+                    ? Optional.of(Answer.decode(answered.payload()))
+                    : Optional.empty();
         } catch (IllegalArgumentException e) {
-            return List.of();
+            return Optional.empty();
         }
     }
 
-    private CompletionStage<Tell> answer(Ask ask) {
-        CompletionStage<Optional<StreamOrigin>> found = ask.relayed()
-                ? find(ask.stream(), false)
-                : CompletableFuture.completedFuture(origins.find(ask.stream(), nowMillis()));
-        return found.thenApply(
-                origin -> new Tell(entry(ask.stream()).map(List::of).orElse(List.of())));
+    private CompletionStage<Answer> answer(Ask ask) {
+        return ask.relayed()
+                ? search(ask.stream(), ask.window(), false)
+                : CompletableFuture.completedFuture(own(ask.stream(), ask.window()));
     }
 
     /** Has other nodes remember all streams that this node remembers, since it is about to stop. */
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/resume/StreamOriginSimulation.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/resume/StreamOriginSimulation.java
@@ -3,8 +3,10 @@
 import io.lagoonseam.core.peer.PeerHandler;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
+import io.lagoonseam.core.resume.ServiceWindow;
 import io.lagoonseam.core.resume.StreamKey;
 import io.lagoonseam.core.resume.StreamOrigin;
+import io.lagoonseam.core.resume.VersionHistory.Versions;
 import io.lagoonseam.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +15,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -68,7 +71,13 @@
             view.clear();
             nodes.stream().filter(node -> node.id != null && !node.equals(this)).forEach(node -> view.add(node.id));
             exchange = new StreamOriginExchange(new StreamOriginExchange.Environment(
-                    time(), transport(), Runnable::run, this::schedule, () -> List.copyOf(view), () -> true));
+                    time(),
+                    transport(),
+                    Runnable::run,
+                    this::schedule,
+                    () -> List.copyOf(view),
+                    () -> true,
+                    window -> new Versions(false, Set.of())));
             for (Node other : nodes) {
                 if (!other.equals(this)) {
                     after(random.nextInt(MAX_VIEW_LAG_MILLIS), () -> other.learn(newId));
@@ -206,19 +215,21 @@
             return;
         }
         Node node = serving.get(random.nextInt(serving.size()));
-        node.exchange.find(stream).thenAccept(found -> {
-            if (found.isEmpty()) {
-                unknown++;
-                return;
-            }
-            if (found.get().equals(origin)) {
-                known++;
-            } else {
-                wrong++;
-            }
-            node.exchange.began(stream, found.get(), LIFETIME_MILLIS);
-            watch(stream, origin, node, node.life, nowMillis + 50 + random.nextInt(4_000), tries - 1);
-        });
+        node.exchange
+                .find(stream, new ServiceWindow("", "llm", LIFETIME_MILLIS))
+                .thenAccept(found -> {
+                    if (found.isEmpty()) {
+                        unknown++;
+                        return;
+                    }
+                    if (found.get().equals(origin)) {
+                        known++;
+                    } else {
+                        wrong++;
+                    }
+                    node.exchange.began(stream, found.get(), LIFETIME_MILLIS);
+                    watch(stream, origin, node, node.life, nowMillis + 50 + random.nextInt(4_000), tries - 1);
+                });
     }
 
     /** Begins a number of streams a second for some time, once the nodes know each other. */
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -70,7 +70,7 @@
     /** Tells what began streams: {@link StreamOriginMessages.Tell}, answered by an empty message. */
     public static final int STREAM_ORIGIN = 75;
 
-    /** Asks what began a stream: {@link StreamOriginMessages.Ask}, answered by {@link StreamOriginMessages.Tell}. */
+    /** Asks what began a stream: {@link StreamOriginMessages.Ask}, answered by {@link StreamOriginMessages.Answer}. */
     public static final int STREAM_ORIGIN_ASK = 76;
 
     private MessageTypes() {}
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/StreamOriginMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/StreamOriginMessages.java
@@ -1,8 +1,11 @@
 package io.lagoonseam.wire;
 
+import io.lagoonseam.core.resume.ServiceWindow;
 import io.lagoonseam.core.resume.StreamKey;
 import io.lagoonseam.core.resume.StreamOrigin;
+import io.lagoonseam.core.resume.VersionHistory.Versions;
 import java.util.List;
+import java.util.Set;
 
 /** The messages between nodes about the software versions that began streams. Each begins with its format version. */
 public final class StreamOriginMessages {
@@ -71,12 +74,13 @@
     }
 
     /**
-     * Asks what began a stream.
+     * Asks what began a stream; answered by {@link Answer}.
      *
      * @param stream the stream
+     * @param window where the stream began, for one that is not known
      * @param relayed whether the receiver asks other nodes if it does not know, since the sender knows few nodes
      */
-    public record Ask(StreamKey stream, boolean relayed) {
+    public record Ask(StreamKey stream, ServiceWindow window, boolean relayed) {
 
         /**
          * Encodes the message.
@@ -87,6 +91,9 @@
             return new MessageWriter(VERSION)
                     .text(stream.workspace())
                     .text(stream.requestId())
+                    .text(window.route())
+                    .text(window.service())
+                    .number(window.windowMillis())
                     .flag(relayed)
                     .bytes();
         }
@@ -100,7 +107,49 @@
          */
         public static Ask decode(byte[] payload) {
             MessageReader reader = new MessageReader(payload, VERSION);
-            return new Ask(new StreamKey(reader.text(), reader.text()), reader.flag());
+            return new Ask(
+                    new StreamKey(reader.text(), reader.text()),
+                    new ServiceWindow(reader.text(), reader.text(), reader.number()),
+                    reader.flag());
+        }
+    }
+
+    /**
+     * The answer to {@link Ask}.
+     *
+     * @param entries the stream, nothing if it is not known
+     * @param versions the software versions that the service has had
+     */
+    public record Answer(List<Entry> entries, Versions versions) {
+
+        /** Copies the list. */
+        public Answer {
+            entries = List.copyOf(entries);
+        }
+
+        /**
+         * Encodes the message.
+         *
+         * @return MessagePack
+         */
+        public byte[] encode() {
+            return new MessageWriter(VERSION)
+                    .items(entries, Entry::write)
+                    .flag(versions.complete())
+                    .list(List.copyOf(versions.versions()))
+                    .bytes();
+        }
+
+        /**
+         * Decodes a message.
+         *
+         * @param payload MessagePack
+         * @return the message
+         * @throws IllegalArgumentException if the bytes are not a message of this version
+         */
+        public static Answer decode(byte[] payload) {
+            MessageReader reader = new MessageReader(payload, VERSION);
+            return new Answer(reader.items(Entry::read), new Versions(reader.flag(), Set.copyOf(reader.list())));
         }
     }
 }
