Soak with two software versions, streams that are taken up, and a store that goes away

Callers of streams take up at any node what engines, nodes or connections broke off, while engines of two versions break off streams, and the store refuses or ignores calls for up to four seconds. StreamOracle checks that each stream holds its own events, without a gap, of one version, that a complete one is whole, that refusals are true, and that streams that are taken up are not starved. An answer that only its close delimits is read as one.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/KeptConnection.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/KeptConnection.java
@@ -23,6 +23,7 @@
 
     private final String host;
     private final int port;
+    private final StringBuilder received = new StringBuilder();
     private Socket socket;
     private int answers;
 
@@ -41,6 +42,11 @@
         }
     }
 
+    /** Returns what has been received of the body of the last answer, also if the connection ended before its end. */
+    public String receivedBody() {
+        return received.toString();
+    }
+
     /**
      * Creates a caller without a connection.
      *
@@ -94,6 +100,7 @@
         headers.forEach(
                 (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
         head.append("Content-Length: 2\r\n\r\n{}");
+        received.setLength(0);
         try {
             socket.getOutputStream().write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
             Answer answer = read(socket.getInputStream());
@@ -108,13 +115,17 @@
         }
     }
 
-    private static Answer read(InputStream in) throws IOException {
+    private Answer read(InputStream in) throws IOException {
         String head = readHead(in);
         int status = Integer.parseInt(head.split(" ")[1]);
-        String body = head.contains("\r\ntransfer-encoding: chunked")
-                ? readChunks(in)
-                : readExactly(in, Integer.parseInt(header(head, "content-length")));
-        return new Answer(status, head, body);
+        if (head.contains("\r\ntransfer-encoding: chunked")) {
+            readChunks(in);
+        } else if (head.contains("\r\ncontent-length:")) {
+            received.append(readExactly(in, Integer.parseInt(header(head, "content-length"))));
+        } else {
+            received.append(new String(in.readAllBytes(), StandardCharsets.ISO_8859_1));
+        }
+        return new Answer(status, head, received.toString());
     }
 
     private static String readHead(InputStream in) throws IOException {
@@ -142,15 +153,12 @@
         return head.substring(from, head.indexOf("\r\n", from)).trim();
     }
 
-    private static String readChunks(InputStream in) throws IOException {
-        StringBuilder body = new StringBuilder();
-        while (true) {
-            int size = Integer.parseInt(readLine(in).trim(), HEX);
-            body.append(readExactly(in, size));
+    private void readChunks(InputStream in) throws IOException {
+        int size = -1;
+        while (size != 0) {
+            size = Integer.parseInt(readLine(in).trim(), HEX);
+            received.append(readExactly(in, size));
             readLine(in);
-            if (size == 0) {
-                return body.toString();
-            }
         }
     }
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakExperiment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakExperiment.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Runs nodes as separate processes while they are stopped, killed, suspended and reloaded, and while workers name
- * limits, for one or more seeds.
+ * Runs nodes as separate processes while they are stopped, killed, suspended and reloaded, while workers of two
+ * software versions name limits and break off streams, and while the store is away, for one or more seeds.
  */
 public final class SoakExperiment implements Experiment {
 
@@ -44,8 +44,8 @@
         int seeds = (int) number(context.options(), "seeds", 1, 10_000);
         ObjectNode fields = JsonNodeFactory.instance.objectNode();
         StringBuilder report = new StringBuilder("# Soak with processes\n\n"
-                + "| seed | nodes | requests | served | refused | with a limit | served at the end | faults | violations |\n"
-                + "|---|---|---|---|---|---|---|---|---|\n");
+                + "| seed | nodes | requests | served | refused | with a limit | taken up | served at the end | faults | violations |\n"
+                + "|---|---|---|---|---|---|---|---|---|---|\n");
         List<String> found = new ArrayList<>();
         for (long seed = context.seed(); seed < context.seed() + seeds; seed++) {
             Path folder = Files.createDirectories(context.outputFolder().resolve("seed-" + seed));
@@ -60,13 +60,14 @@
             Map<SoakLog.NodeAction, Integer> faults = new TreeMap<>();
             result.nodeEvents().forEach(event -> faults.merge(event.action(), 1, Integer::sum));
             String row = String.format(
-                    "| %d | %d | %d | %d | %d | %d | %.3f | %s, %d limits | %d |",
+                    "| %d | %d | %d | %d | %d | %d | %d | %.3f | %s, %d limits | %d |",
                     seed,
                     nodes,
                     result.calls(),
                     result.served(),
                     result.refused(),
                     result.limited(),
+                    result.takenUp(),
                     result.lastServedShare(),
                     faults,
                     result.limitChanges().size(),
@@ -75,7 +76,7 @@
             context.progress().println(row);
             ObjectNode of = fields.putObject("seed-" + seed);
             of.put("requests", result.calls()).put("served", result.served()).put("refused", result.refused());
-            of.put("withLimit", result.limited());
+            of.put("withLimit", result.limited()).put("takenUp", result.takenUp());
             of.put("violations", violations.size());
             for (String violation : violations) {
                 String line = "seed " + seed + ": " + violation + "; again: lagoonseam experiment soak --seed " + seed
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
@@ -12,6 +12,7 @@
     private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
     private final Queue<NodeEvent> nodeEvents = new ConcurrentLinkedQueue<>();
     private final Queue<LimitChange> limitChanges = new ConcurrentLinkedQueue<>();
+    private final Queue<StreamTry> streamTries = new ConcurrentLinkedQueue<>();
 
     /** What became of a call. */
     enum Outcome {
@@ -88,6 +89,19 @@
      */
     record LimitChange(String worker, double perSecond, long atMillis) {}
 
+    /**
+     * One attempt of a caller to get a stream or the rest of it.
+     *
+     * @param stream identifies the stream
+     * @param id the id of the request
+     * @param node the index of the node
+     * @param afterEvent the number of the last event that the caller had before, 0 for a stream that begins
+     * @param sentMillis when it was sent
+     * @param status the status, 0 if none was received
+     * @param body the body as far as it was received
+     */
+    record StreamTry(String stream, String id, int node, int afterEvent, long sentMillis, int status, String body) {}
+
     static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -104,6 +118,14 @@
         limitChanges.add(change);
     }
 
+    void add(StreamTry streamTry) {
+        streamTries.add(streamTry);
+    }
+
+    List<StreamTry> streamTries() {
+        return new ArrayList<>(streamTries);
+    }
+
     List<Call> calls() {
         return new ArrayList<>(calls);
     }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -23,7 +23,11 @@
 final class SoakRun implements AutoCloseable {
 
     private static final String KEY = "key-1";
-    private static final int MIN_WORKERS = 3;
+    private static final int MIN_WORKERS = 4;
+    private static final String[] VERSIONS = {"v1", "v2"};
+    private static final int STREAM_CALLERS_PER_NODE = 2;
+    private static final String STREAM_CALLER = "s";
+    private static final int MAX_BREAK_EVENTS = 9;
     private static final int CALLERS_PER_NODE = 6;
     private static final int MAX_GAP_MILLIS = 2_500;
     private static final double[] LIMITS = {0.4, 1, 2.5, 6};
@@ -36,6 +40,7 @@
     private final Vertx vertx = Vertx.vertx();
     private final StoreStandIn store = new StoreStandIn(NodeProcess.HOST, 0);
     private final Map<String, WorkerStandIn> workers = new HashMap<>();
+    private final Map<String, String> versionByEngine = new HashMap<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
     private final SoakLog log = new SoakLog();
@@ -49,6 +54,7 @@
      * @param served the number of answers with status 200
      * @param refused the number of answers with status 503
      * @param limited the number of answers that named a limit
+     * @param takenUp the number of requests for the rest of a stream
      * @param lastServedShare the share of requests served after the last fault
      * @param nodeEvents what was done to the nodes
      * @param limitChanges the changes of limits
@@ -59,6 +65,7 @@
             long served,
             long refused,
             long limited,
+            long takenUp,
             double lastServedShare,
             List<NodeEvent> nodeEvents,
             List<LimitChange> limitChanges,
@@ -72,8 +79,13 @@
                 "config", "main", PlatformFixtures.configuration(4, PlatformFixtures.routes(NodeProcess.HOST), KEY)));
         for (int index = 0; index < Math.max(MIN_WORKERS, nodeCount); index++) {
             // so few slots that requests spread over the workers, and enough for all callers
-            startWorker("app", new WorkerOptions("p" + index, 3, 24, 15, 0, 0, 0, 0));
-            startWorker("llm", new WorkerOptions("e" + index, 12, 32, 0, 4, 500, 60_000, 4));
+            startWorker("app", "v1", new WorkerOptions("p" + index, 3, 24, 15, 0, 0, 0, 0));
+            String engine = "e" + index;
+            versionByEngine.put(engine, VERSIONS[index % VERSIONS.length]);
+            startWorker("llm", versionByEngine.get(engine), new WorkerOptions(engine, 12, 32, 0, 4, 500, 60_000, 4));
+            workers.get(engine)
+                    .setFaults(new JsonObject().put("namesItself", true).put("breakIdPrefix", STREAM_CALLER));
+            breakStreams(engine, 1 + random.nextInt(MAX_BREAK_EVENTS));
         }
         int peerPort = FreePorts.find();
         for (int index = 0; index < nodeCount; index++) {
@@ -96,18 +108,23 @@
                     random.nextLong(),
                     () -> running)));
         }
+        List<Integer> ports = nodes.stream().map(NodeProcess::callerPort).toList();
+        for (int index = 0; index < nodeCount * STREAM_CALLERS_PER_NODE; index++) {
+            threads.add(new Thread(
+                    new SoakStreamCaller(STREAM_CALLER + index, ports, KEY, log, random.nextLong(), () -> running)));
+        }
     }
 
     private void inStore(Runnable change) {
         store.runOnEventLoop(change);
     }
 
-    private void startWorker(String service, WorkerOptions options) {
+    private void startWorker(String service, String version, WorkerOptions options) {
         WorkerStandIn worker = new WorkerStandIn(NodeProcess.HOST, 0, options, 1);
         vertx.deployVerticle(worker).await();
         workers.put(options.id(), worker);
-        JsonObject record =
-                PlatformFixtures.worker(service, NodeProcess.HOST + ":" + worker.port(), options.slots(), "ready");
+        JsonObject record = PlatformFixtures.worker(
+                service, version, NodeProcess.HOST + ":" + worker.port(), options.slots(), "ready");
         inStore(() -> store.put("servers", options.id(), record));
     }
 
@@ -117,6 +134,12 @@
         List<Thread> actions = new ArrayList<>();
         while (SoakLog.nowMillis() < endMillis) {
             TimeUnit.MILLISECONDS.sleep(200 + random.nextInt(MAX_GAP_MILLIS));
+            if (random.nextInt(3) == 0) {
+                breakStreams(1 + random.nextInt(MAX_BREAK_EVENTS));
+            }
+            if (random.nextInt(4) == 0) {
+                actions.add(storeFault(random.nextBoolean() ? "busy" : "silent", 300 + random.nextInt(4_000)));
+            }
             if (random.nextInt(3) == 0) {
                 changeLimit();
             } else {
@@ -128,6 +151,7 @@
         }
         long calmMillis = SoakLog.nowMillis();
         workers.forEach((id, worker) -> setLimit(id, Double.POSITIVE_INFINITY));
+        versionByEngine.keySet().forEach(id -> breakStreams(id, Integer.MAX_VALUE));
         TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
         running = false;
         for (Thread thread : threads) {
@@ -139,6 +163,33 @@
         return result(calmMillis);
     }
 
+    /** Has an engine break off the streams of callers that take them up, after some events, or no longer. */
+    private void breakStreams(int afterEvents) {
+        List<String> ids = versionByEngine.keySet().stream().sorted().toList();
+        breakStreams(ids.get(random.nextInt(ids.size())), random.nextInt(3) == 0 ? Integer.MAX_VALUE : afterEvents);
+    }
+
+    private void breakStreams(String engine, int afterEvents) {
+        workers.get(engine).setFaults(new JsonObject().put("breakAfterEvents", afterEvents));
+    }
+
+    /** Has the store refuse or ignore calls for a time. */
+    private Thread storeFault(String fault, long forMillis) {
+        Thread thread = new Thread(() -> {
+            synchronized (store) {
+                try {
+                    store.setFaults(new JsonObject().put(fault, true));
+                    TimeUnit.MILLISECONDS.sleep(forMillis);
+                    store.setFaults(new JsonObject().put(fault, false));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        });
+        thread.start();
+        return thread;
+    }
+
     private void changeLimit() {
         List<String> ids = workers.keySet().stream().sorted().toList();
         String id = ids.get(random.nextInt(ids.size()));
@@ -210,6 +261,8 @@
             arrivals.put(id, worker.arrivalRecords());
             worker.recordedRequests().forEach(run -> runs.merge(run.getString("id"), 1, Integer::sum));
         });
+        List<String> violations = new ArrayList<>(new SoakOracle(log, arrivals, runs).check());
+        violations.addAll(new StreamOracle(log, versionByEngine, runs).check());
         List<SoakLog.Call> calls = log.calls();
         long last = calls.stream()
                 .filter(call -> call.sentMillis() > calmMillis + CALM_MILLIS / 2)
@@ -222,10 +275,13 @@
                 calls.stream().filter(call -> call.status() == 200).count(),
                 calls.stream().filter(call -> call.status() == 503).count(),
                 calls.stream().filter(call -> !call.limitedBy().isEmpty()).count(),
+                log.streamTries().stream()
+                        .filter(attempt -> attempt.afterEvent() > 0)
+                        .count(),
                 last == 0 ? 0 : (double) lastServed / last,
                 log.nodeEvents(),
                 log.limitChanges(),
-                new SoakOracle(log, arrivals, runs).check());
+                violations);
     }
 
     @Override
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -41,6 +41,7 @@
     private double failureRate;
     private double lostAnswerShare;
     private int breakAfterEvents = Integer.MAX_VALUE;
+    private String breakIdPrefix = "";
     private boolean namesItself;
     private boolean unresponsive;
     private boolean healthy = true;
@@ -247,7 +248,7 @@
                     .setChunked(true);
         }
         run.sentEvents++;
-        if (run.sentEvents > breakAfterEvents) {
+        if (run.sentEvents > breakAfterEvents && requestId(run.request).startsWith(breakIdPrefix)) {
             batch.remove(run);
             response.write("id: " + event + "\nda")
                     .onComplete(nothing -> run.request.connection().close());
@@ -266,6 +267,7 @@
         failureRate = faults.getDouble("failShare", failureRate);
         lostAnswerShare = faults.getDouble("loseAnswerShare", lostAnswerShare);
         breakAfterEvents = faults.getInteger("breakAfterEvents", breakAfterEvents);
+        breakIdPrefix = faults.getString("breakIdPrefix", breakIdPrefix);
         namesItself = faults.getBoolean("namesItself", namesItself);
         unresponsive = faults.getBoolean("silent", unresponsive);
         healthy = faults.getBoolean("healthy", healthy);
