Soak with configurations that change, checked for delay and reversion

Each configuration has a route that only it has; probes ask each node for the routes of the latest three. ConfigurationOracle finds a route that is missing, or still there, four seconds after its change without a fault that excuses it, and a node that goes back to an older configuration within one run of its process, also after it was suspended: what docs/RELIABILITY.md named as not examined after a pause.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
@@ -13,6 +13,9 @@
     private final Queue<NodeEvent> nodeEvents = new ConcurrentLinkedQueue<>();
     private final Queue<LimitChange> limitChanges = new ConcurrentLinkedQueue<>();
     private final Queue<StreamTry> streamTries = new ConcurrentLinkedQueue<>();
+    private final Queue<ConfigurationChange> configurationChanges = new ConcurrentLinkedQueue<>();
+    private final Queue<Probe> probes = new ConcurrentLinkedQueue<>();
+    private final Queue<StoreOutage> storeOutages = new ConcurrentLinkedQueue<>();
 
     /** What became of a call. */
     enum Outcome {
@@ -102,6 +105,33 @@
      */
     record StreamTry(String stream, String id, int node, int afterEvent, long sentMillis, int status, String body) {}
 
+    /**
+     * A configuration with a route of its own, which the next one does not have.
+     *
+     * @param number the number of its route
+     * @param atMillis when the store had accepted it
+     */
+    record ConfigurationChange(int number, long atMillis) {}
+
+    /**
+     * A request on the route of a configuration.
+     *
+     * @param node the index of the node
+     * @param number the number of the route
+     * @param sentMillis when it was sent
+     * @param endedMillis when the answer was complete
+     * @param found whether the node had the route
+     */
+    record Probe(int node, int number, long sentMillis, long endedMillis, boolean found) {}
+
+    /**
+     * A time in which the store refused or ignored calls.
+     *
+     * @param fromMillis when it began
+     * @param toMillis when it ended
+     */
+    record StoreOutage(long fromMillis, long toMillis) {}
+
     static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -122,6 +152,30 @@
         streamTries.add(streamTry);
     }
 
+    void add(ConfigurationChange change) {
+        configurationChanges.add(change);
+    }
+
+    void add(Probe probe) {
+        probes.add(probe);
+    }
+
+    void add(StoreOutage outage) {
+        storeOutages.add(outage);
+    }
+
+    List<ConfigurationChange> configurationChanges() {
+        return new ArrayList<>(configurationChanges);
+    }
+
+    List<Probe> probes() {
+        return new ArrayList<>(probes);
+    }
+
+    List<StoreOutage> storeOutages() {
+        return new ArrayList<>(storeOutages);
+    }
+
     List<StreamTry> streamTries() {
         return new ArrayList<>(streamTries);
     }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -4,6 +4,7 @@
 import io.lagoonseam.bench.soak.SoakLog.LimitChange;
 import io.lagoonseam.bench.soak.SoakLog.NodeAction;
 import io.lagoonseam.bench.soak.SoakLog.NodeEvent;
+import io.lagoonseam.bench.soak.SoakLog.StoreOutage;
 import io.lagoonseam.standin.operator.PlatformFixtures;
 import io.lagoonseam.standin.store.StoreStandIn;
 import io.lagoonseam.standin.worker.WorkerOptions;
@@ -55,6 +56,7 @@
      * @param refused the number of answers with status 503
      * @param limited the number of answers that named a limit
      * @param takenUp the number of requests for the rest of a stream
+     * @param configurations the number of configurations
      * @param lastServedShare the share of requests served after the last fault
      * @param nodeEvents what was done to the nodes
      * @param limitChanges the changes of limits
@@ -66,6 +68,7 @@
             long refused,
             long limited,
             long takenUp,
+            int configurations,
             double lastServedShare,
             List<NodeEvent> nodeEvents,
             List<LimitChange> limitChanges,
@@ -113,6 +116,10 @@
             threads.add(new Thread(
                     new SoakStreamCaller(STREAM_CALLER + index, ports, KEY, log, random.nextLong(), () -> running)));
         }
+        threads.add(new Thread(new SoakOperator(store, KEY, log, random.nextLong(), () -> running)));
+        for (int index = 0; index < nodeCount; index++) {
+            threads.add(new Thread(new SoakProbe(index, ports.get(index), KEY, log, random.nextLong(), () -> running)));
+        }
     }
 
     private void inStore(Runnable change) {
@@ -178,9 +185,11 @@
         Thread thread = new Thread(() -> {
             synchronized (store) {
                 try {
+                    long fromMillis = SoakLog.nowMillis();
                     store.setFaults(new JsonObject().put(fault, true));
                     TimeUnit.MILLISECONDS.sleep(forMillis);
                     store.setFaults(new JsonObject().put(fault, false));
+                    log.add(new StoreOutage(fromMillis, SoakLog.nowMillis()));
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
@@ -263,6 +272,7 @@
         });
         List<String> violations = new ArrayList<>(new SoakOracle(log, arrivals, runs).check());
         violations.addAll(new StreamOracle(log, versionByEngine, runs).check());
+        violations.addAll(new ConfigurationOracle(log).check());
         List<SoakLog.Call> calls = log.calls();
         long last = calls.stream()
                 .filter(call -> call.sentMillis() > calmMillis + CALM_MILLIS / 2)
@@ -278,6 +288,7 @@
                 log.streamTries().stream()
                         .filter(attempt -> attempt.afterEvent() > 0)
                         .count(),
+                log.configurationChanges().size(),
                 last == 0 ? 0 : (double) lastServed / last,
                 log.nodeEvents(),
                 log.limitChanges(),
