Trust a single version only if half of the nodes that are asked answer

A node that is cut off from the store and from the other nodes does not notice a new version. With a caller whose stream it does not know it would have taken the only version that it had seen for the one that began the stream: the answers of the others were added to its own view, but not required. Found by reading; StreamOriginExchangeTest.aNodeThatIsCutOffFromTheOthersDoesNotTrustItsOwnView shows it (with fewer than half of the answers nothing is known now), and that a node without others has to have read that it is the only one.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/StreamOriginExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/StreamOriginExchange.java
@@ -226,16 +226,25 @@
                 environment.observed().apply(window));
     }
 
-    /** Returns what this node and the others know; as soon as one knows the stream, or when all have answered. */
+    /**
+     * Returns what this node and the others know; as soon as one knows the stream, or when all have answered. The
+     * versions are complete only if half of the nodes that were asked have answered: a node that is cut off from the
+     * others and the store does not notice a new version.
+     */
     private CompletionStage<Answer> search(StreamKey stream, ServiceWindow window, boolean relayed) {
         Answer own = own(stream, window);
         List<String> nodes = ranked(stream);
-        if (!own.entries().isEmpty() || nodes.isEmpty()) {
+        if (!own.entries().isEmpty()) {
             return CompletableFuture.completedFuture(own);
         }
+        if (nodes.isEmpty()) {
+            boolean alone = environment.knowsAllNodes().get();
+            return CompletableFuture.completedFuture(alone ? own : own.withoutAllVersions());
+        }
         CompletableFuture<Answer> found = new CompletableFuture<>();
         List<String> asked = nodes.subList(0, Math.min(ASKED_NODES, nodes.size()));
         int[] unanswered = {asked.size()};
+        int[] answers = {0};
         Versions[] versions = {own.versions()};
         byte[] ask = new Ask(stream, window, relayed).encode();
         long timeoutMillis = relayed ? RELAYED_ASK_TIMEOUT_MILLIS : ASK_TIMEOUT_MILLIS;
@@ -248,10 +257,11 @@
                         decode(reply).ifPresent(answer -> {
                             answer.entries().forEach(this::remember);
                             versions[0] = versions[0].plus(answer.versions());
+                            answers[0]++;
                         });
                         if (entry(stream).isPresent() || unanswered[0] == 0) {
-                            found.complete(
-                                    new Answer(entry(stream).map(List::of).orElse(List.of()), versions[0]));
+                            Answer all = new Answer(entry(stream).map(List::of).orElse(List.of()), versions[0]);
+                            found.complete(2 * answers[0] >= asked.size() ? all : all.withoutAllVersions());
                         }
                     }));
         }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/StreamOriginMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/StreamOriginMessages.java
@@ -127,6 +127,15 @@
             entries = List.copyOf(entries);
         }
 
+        /**
+         * Returns a copy whose versions need not be all that the service has had.
+         *
+         * @return the copy
+         */
+        public Answer withoutAllVersions() {
+            return new Answer(entries, new Versions(false, versions.versions()));
+        }
+
         /**
          * Encodes the message.
          *
