Soak with workers that leave, checked for new requests

Workers of the plain service say in their records that they are leaving, and register as new incarnations after some seconds. DrainOracle finds a request that reaches one later than two seconds after the store had accepted that, without a fault of the node or the store that excuses it.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
@@ -16,6 +16,7 @@
     private final Queue<ConfigurationChange> configurationChanges = new ConcurrentLinkedQueue<>();
     private final Queue<Probe> probes = new ConcurrentLinkedQueue<>();
     private final Queue<StoreOutage> storeOutages = new ConcurrentLinkedQueue<>();
+    private final Queue<Drain> drains = new ConcurrentLinkedQueue<>();
 
     /** What became of a call. */
     enum Outcome {
@@ -124,6 +125,15 @@
      */
     record Probe(int node, int number, long sentMillis, long endedMillis, boolean found) {}
 
+    /**
+     * A time in which the record of a worker says that it is leaving.
+     *
+     * @param worker the id of the worker
+     * @param fromMillis when the store had accepted that
+     * @param toMillis when the worker registered as a new incarnation
+     */
+    record Drain(String worker, long fromMillis, long toMillis) {}
+
     /**
      * A time in which the store refused or ignored calls.
      *
@@ -164,6 +174,14 @@
         storeOutages.add(outage);
     }
 
+    void add(Drain drain) {
+        drains.add(drain);
+    }
+
+    List<Drain> drains() {
+        return new ArrayList<>(drains);
+    }
+
     List<ConfigurationChange> configurationChanges() {
         return new ArrayList<>(configurationChanges);
     }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.bench.soak;
 
 import io.lagoonseam.bench.fleet.FreePorts;
+import io.lagoonseam.bench.soak.SoakLog.Drain;
 import io.lagoonseam.bench.soak.SoakLog.LimitChange;
 import io.lagoonseam.bench.soak.SoakLog.NodeAction;
 import io.lagoonseam.bench.soak.SoakLog.NodeEvent;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** One soak: nodes as processes, stand-ins of the store and of workers, callers, and faults by a seeded schedule. */
@@ -29,6 +31,12 @@
     private static final int STREAM_CALLERS_PER_NODE = 2;
     private static final String STREAM_CALLER = "s";
     private static final int MAX_BREAK_EVENTS = 9;
+    private static final int PLAIN_SLOTS = 3;
+    private static final int MIN_DRAIN_MILLIS = 2_500;
+
+    /** The start time in the records of {@link PlatformFixtures}, in milliseconds. */
+    private static final long FIRST_START = 1_000;
+
     private static final int CALLERS_PER_NODE = 6;
     private static final int MAX_GAP_MILLIS = 2_500;
     private static final double[] LIMITS = {0.4, 1, 2.5, 6};
@@ -42,6 +50,10 @@
     private final StoreStandIn store = new StoreStandIn(NodeProcess.HOST, 0);
     private final Map<String, WorkerStandIn> workers = new HashMap<>();
     private final Map<String, String> versionByEngine = new HashMap<>();
+    private final Object drainLock = new Object();
+    private final Map<String, Long> startMillisById = new HashMap<>();
+    private final int plainWorkers;
+    private long lastStartMillis = FIRST_START;
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
     private final SoakLog log = new SoakLog();
@@ -57,6 +69,7 @@
      * @param limited the number of answers that named a limit
      * @param takenUp the number of requests for the rest of a stream
      * @param configurations the number of configurations
+     * @param drains the number of workers that left
      * @param lastServedShare the share of requests served after the last fault
      * @param nodeEvents what was done to the nodes
      * @param limitChanges the changes of limits
@@ -69,6 +82,7 @@
             long limited,
             long takenUp,
             int configurations,
+            int drains,
             double lastServedShare,
             List<NodeEvent> nodeEvents,
             List<LimitChange> limitChanges,
@@ -80,9 +94,10 @@
         vertx.deployVerticle(store).await();
         inStore(() -> store.put(
                 "config", "main", PlatformFixtures.configuration(4, PlatformFixtures.routes(NodeProcess.HOST), KEY)));
-        for (int index = 0; index < Math.max(MIN_WORKERS, nodeCount); index++) {
+        plainWorkers = Math.max(MIN_WORKERS, nodeCount);
+        for (int index = 0; index < plainWorkers; index++) {
             // so few slots that requests spread over the workers, and enough for all callers
-            startWorker("app", "v1", new WorkerOptions("p" + index, 3, 24, 15, 0, 0, 0, 0));
+            startWorker("app", "v1", new WorkerOptions("p" + index, PLAIN_SLOTS, 24, 15, 0, 0, 0, 0));
             String engine = "e" + index;
             versionByEngine.put(engine, VERSIONS[index % VERSIONS.length]);
             startWorker("llm", versionByEngine.get(engine), new WorkerOptions(engine, 12, 32, 0, 4, 500, 60_000, 4));
@@ -144,6 +159,9 @@
             if (random.nextInt(3) == 0) {
                 breakStreams(1 + random.nextInt(MAX_BREAK_EVENTS));
             }
+            if (random.nextInt(4) == 0) {
+                actions.add(drain("p" + random.nextInt(plainWorkers), MIN_DRAIN_MILLIS + random.nextInt(4_000)));
+            }
             if (random.nextInt(4) == 0) {
                 actions.add(storeFault(random.nextBoolean() ? "busy" : "silent", 300 + random.nextInt(4_000)));
             }
@@ -180,6 +198,44 @@
         workers.get(engine).setFaults(new JsonObject().put("breakAfterEvents", afterEvents));
     }
 
+    /** Has a worker of the plain service leave, and register as a new incarnation after a time. */
+    private Thread drain(String id, long forMillis) {
+        Thread thread = new Thread(() -> {
+            synchronized (drainLock) {
+                try {
+                    lastStartMillis++;
+                    JsonObject record = PlatformFixtures.worker(
+                            "app", NodeProcess.HOST + ":" + workers.get(id).port(), PLAIN_SLOTS, "draining");
+                    JsonObject next = PlatformFixtures.worker(
+                                    "app",
+                                    NodeProcess.HOST + ":" + workers.get(id).port(),
+                                    PLAIN_SLOTS,
+                                    "ready")
+                            .put("born", lastStartMillis);
+                    long fromMillis = register(id, record.put("born", startMillisById.getOrDefault(id, FIRST_START)));
+                    TimeUnit.MILLISECONDS.sleep(forMillis);
+                    startMillisById.put(id, lastStartMillis);
+                    log.add(new Drain(id, fromMillis, register(id, next)));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        });
+        thread.start();
+        return thread;
+    }
+
+    /** Writes the record of a worker and returns when the store has accepted it. */
+    private long register(String id, JsonObject record) throws InterruptedException {
+        CountDownLatch written = new CountDownLatch(1);
+        inStore(() -> {
+            store.put("servers", id, record);
+            written.countDown();
+        });
+        written.await();
+        return SoakLog.nowMillis();
+    }
+
     /** Has the store refuse or ignore calls for a time. */
     private Thread storeFault(String fault, long forMillis) {
         Thread thread = new Thread(() -> {
@@ -273,6 +329,7 @@
         List<String> violations = new ArrayList<>(new SoakOracle(log, arrivals, runs).check());
         violations.addAll(new StreamOracle(log, versionByEngine, runs).check());
         violations.addAll(new ConfigurationOracle(log).check());
+        violations.addAll(new DrainOracle(log, arrivals).check());
         List<SoakLog.Call> calls = log.calls();
         long last = calls.stream()
                 .filter(call -> call.sentMillis() > calmMillis + CALM_MILLIS / 2)
@@ -289,6 +346,7 @@
                         .filter(attempt -> attempt.afterEvent() > 0)
                         .count(),
                 log.configurationChanges().size(),
+                log.drains().size(),
                 last == 0 ? 0 : (double) lastServed / last,
                 log.nodeEvents(),
                 log.limitChanges(),
