Have the worker of the slow-reader test send its first event at once

Traced: the test's worker writes 13 MB at once, and its first event took 461 ms in a run that passed at a load of 16, where the node waits 450 ms for the first event of a stream that may go on elsewhere. That has nothing to do with a caller that reads slowly, which is what the test guards. The first event is now a small one that is written before the large ones; bounds and the pause of the caller stay.

--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StreamProgressTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StreamProgressTest.java
@@ -128,13 +128,16 @@
         assertEquals(readSlowly("s"), 1);
     }
 
+    /** Sends a small event at once, since a stream without a first event is sent to another worker soon. */
     private void sendLargeEvents(NetSocket socket, String id) {
-        socket.write(head(id));
-        String data = "x".repeat(LARGE_EVENT_BYTES);
-        for (int event = 1; event <= LARGE_EVENTS; event++) {
-            socket.write(chunk("id: " + event + "\ndata: " + data + "\n\n"));
-        }
-        socket.write("0\r\n\r\n");
+        socket.write(head(id) + chunk("id: 1\ndata: first\n\n"));
+        vertx.runOnContext(nothing -> {
+            String data = "x".repeat(LARGE_EVENT_BYTES);
+            for (int event = 2; event <= LARGE_EVENTS; event++) {
+                socket.write(chunk("id: " + event + "\ndata: " + data + "\n\n"));
+            }
+            socket.write("0\r\n\r\n");
+        });
     }
 
     /** Returns 1 if the stream came from the worker with large events, after checking that it is whole. */
