Log the shared parts of prompts, and that a worker crashed

The logs of the incident could not tell which part of their prompts the requests had in common under which workers crashed, nor a crash from a reset.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -134,6 +134,8 @@
     /** No node that answered knows which software version began a stream. */
     STREAM_NOT_TAKEN_UP(
             441, EventLevel.WARNING, "A stream was not taken up, since no node knows which version began it"),
+    /** A worker crashed: it closed its connections and refuses new ones, and had not announced that it would leave. */
+    UPSTREAM_CRASHED(442, EventLevel.WARNING, "A worker crashed with requests in flight"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -77,6 +77,7 @@
     private final UpstreamChooser plainChooser;
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
     private final WorkerAnnouncements announcements;
+    private final CrashCheck crashCheck;
     private PermitSource permits = PermitSource.UNLIMITED;
     private final VersionHistory versionHistory = new VersionHistory();
     private final RouteHistory routeHistory = new RouteHistory();
@@ -95,6 +96,7 @@
         int memoryMegabytes = environment.settings().resources().memoryMegabytes();
         this.answerBuffers =
                 new AnswerBuffers<>(Math.round(ANSWER_MEMORY_SHARE * memoryMegabytes * (1 << 20)), MAX_ANSWER_BYTES);
+        this.crashCheck = new CrashCheck(environment, directory);
         this.announcements = new WorkerAnnouncements(environment, directory, this::refresh);
         this.plainChooser =
                 new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
@@ -299,6 +301,11 @@
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
     }
 
+    /** Returns what tells whether workers have crashed. */
+    CrashCheck crashCheck() {
+        return crashCheck;
+    }
+
     /** Returns what applies the announcements of workers and of peers about them. */
     WorkerAnnouncements announcements() {
         return announcements;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -582,6 +582,9 @@
                             : OutlierDetector.Outcome.FAILED);
         }
         log.attemptFailed(worker, result, sentMillis, lastEventId);
+        if (result instanceof AttemptResult.Broken) {
+            dispatcher.crashCheck().crashed(worker.record());
+        }
         decide(result);
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -7,10 +7,13 @@
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.entry.forward.ForwardedRequest.AdmittedRequest;
 import java.util.Locale;
+import java.util.stream.Collectors;
 
 /** Records the decisions about one request in the log and the metrics. */
 final class RequestLog {
 
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final ForwardEnvironment environment;
     private final RequestMetrics metrics;
     private final AdmittedRequest admitted;
@@ -52,6 +55,10 @@
                 remainingMillis,
                 "prompt_tokens",
                 admitted.callerHeaders().prompt().tokens(),
+                "parts",
+                admitted.callerHeaders().sharedParts().stream()
+                        .limit(MAX_LOGGED_PARTS)
+                        .collect(Collectors.joining(",")),
                 "resumes",
                 admitted.callerHeaders().resumedRequestId());
     }
