--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/AbstractStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/AbstractStandIn.java
@@ -20,7 +20,9 @@
 
     private final String host;
     private final int requestedPort;
+    private Router router;
     private HttpServer server;
+    private int port;
 
     /**
      * Creates a stand-in.
@@ -40,7 +42,7 @@
      * @return the actual port, also if 0 was requested
      */
     public final int port() {
-        return server.actualPort();
+        return port;
     }
 
     /**
@@ -54,13 +56,30 @@
 
     @Override
     public final Future<?> start() {
-        Router router = Router.router(vertx);
+        router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false).setBodyLimit(BODY_LIMIT_BYTES));
         router.post("/faults").handler(this::handleFaults);
         router.get("/counters").handler(this::sendCounters);
         addRoutes(router);
+        return listen(requestedPort).onSuccess(listening -> {
+            port = listening.actualPort();
+            onListening();
+        });
+    }
+
+    private Future<HttpServer> listen(int onPort) {
         server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(0));
-        return server.requestHandler(router).listen(requestedPort, host).onSuccess(listening -> onListening());
+        return server.requestHandler(router).listen(onPort, host);
+    }
+
+    /**
+     * Closes all connections and refuses new ones for some time. Called on the event loop.
+     *
+     * @param downMillis the time until the server listens on its port again, in milliseconds
+     */
+    protected final void goDown(long downMillis) {
+        server.close();
+        vertx.setTimer(Math.max(1, downMillis), timer -> listen(port));
     }
 
     private void sendCounters(RoutingContext context) {
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/EngineBatch.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/EngineBatch.java
@@ -39,6 +39,16 @@
         runs.remove(run);
     }
 
+    boolean holds(EngineRun run) {
+        return runs.contains(run);
+    }
+
+    /** Forgets all requests and what is cached. */
+    void clear() {
+        runs.clear();
+        cachedSegments.clear();
+    }
+
     int running() {
         return (int) runs.stream().filter(run -> run.running).count();
     }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -19,8 +19,8 @@
 /**
  * Simulates a worker of a plain service or of a model. It rejects requests that are addressed to another instance,
  * reports its load, and records the requests that it ran with their ids. Its faults are failed requests, missing
- * responses, connections closed instead of a response, and streams that are cut off. If told to, it names itself in
- * each event of a stream.
+ * responses, connections closed instead of a response, streams that are cut off, and requests that crash it when it
+ * begins to answer them. If told to, it names itself in each event of a stream.
  */
 public final class WorkerStandIn extends AbstractStandIn {
 
@@ -48,6 +48,10 @@
     private boolean leaving;
     private String pauseSeconds = "";
     private String limitPerSecond = "";
+    private String crashPart = "";
+    private long crashMillis;
+    private final AtomicLong crashes = new AtomicLong();
+    private final AtomicLong crashPartArrivals = new AtomicLong();
     private final Queue<Arrival> arrivalRecords = new ConcurrentLinkedQueue<>();
 
     /**
@@ -112,6 +116,9 @@
     private void handleRequest(RoutingContext context) {
         arrivals.incrementAndGet();
         HttpServerRequest request = context.request();
+        if (holdsCrashPart(request)) {
+            crashPartArrivals.incrementAndGet();
+        }
         arrivalRecords.add(new Arrival(requestId(request), TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
         if (leaving) {
             request.response().putHeader("Server-Leaving", "1");
@@ -215,6 +222,19 @@
         request.connection().closeHandler(nothing -> batch.remove(run));
     }
 
+    private boolean holdsCrashPart(HttpServerRequest request) {
+        return !crashPart.isEmpty()
+                && segments(request.getHeader("X-Prompt-Prefix")).stream()
+                        .anyMatch(segment -> segment.id().equals(crashPart));
+    }
+
+    private void crash() {
+        crashes.incrementAndGet();
+        batch.clear();
+        plainRunning = 0;
+        goDown(crashMillis);
+    }
+
     private int eventCount(String tokenCounts) {
         String[] fields = tokenCounts == null ? new String[] {"0", "8"} : tokenCounts.split(",");
         return Math.max(1, Integer.parseInt(fields[1].trim()) / options.tokensPerEvent());
@@ -233,6 +253,13 @@
 
     private void onTokenGenerated(EngineRun run) {
         HttpServerResponse response = run.request.response();
+        if (!batch.holds(run)) {
+            return;
+        }
+        if (holdsCrashPart(run.request)) {
+            crash();
+            return;
+        }
         if (!run.started) {
             run.started = true;
             recordRun(run.request);
@@ -274,6 +301,8 @@
         leaving = faults.getBoolean("leaving", leaving);
         pauseSeconds = faults.getString("pauseSeconds", pauseSeconds);
         limitPerSecond = faults.getString("limitPerSecond", limitPerSecond);
+        crashPart = faults.getString("crashPart", crashPart);
+        crashMillis = faults.getLong("crashMillis", crashMillis);
     }
 
     /**
@@ -324,6 +353,25 @@
         return List.copyOf(arrivalRecords);
     }
 
+    /**
+     * Returns how often a request has crashed the worker. May be called from any thread.
+     *
+     * @return the number of crashes
+     */
+    public long crashes() {
+        return crashes.get();
+    }
+
+    /**
+     * Returns the number of requests received that hold the part that crashes the worker. May be called from any
+     * thread.
+     *
+     * @return the number of requests
+     */
+    public long crashPartArrivals() {
+        return crashPartArrivals.get();
+    }
+
     /**
      * Returns the number of requests received whose response or connection has not ended. May be called from any
      * thread.
