Stop sending requests with a part under which workers crash, at all nodes

Cause: no node kept count of what a worker was doing when it crashed. Each request with the part was new to every node. The class of fault is a judgement that spans requests, nodes and the lives of workers, made by each request for itself.

A crash counts under each part of the prompts that were in flight, until a worker begins a whole answer with that part after it. Three nodes count for all, ask all for whole answers, and tell all (docs/decisions/0083). Requests with a part in quarantine get 503 and are true not-runs.

Workers that crash together put no sound part in quarantine.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -136,6 +136,12 @@
             441, EventLevel.WARNING, "A stream was not taken up, since no node knows which version began it"),
     /** A worker crashed: it closed its connections and refuses new ones, and had not announced that it would leave. */
     UPSTREAM_CRASHED(442, EventLevel.WARNING, "A worker crashed with requests in flight"),
+    /** So many workers crashed under requests with something in common that no more of these are sent. */
+    QUARANTINE_BEGUN(443, EventLevel.WARNING, "Requests under which workers crashed are no longer sent"),
+    /** A worker answered a request in quarantine, or another one explains the crashes. */
+    QUARANTINE_ENDED(444, EventLevel.INFO, "Requests are sent again that workers were taken to crash under"),
+    /** A request in quarantine was let through to see whether a worker answers it. */
+    QUARANTINE_TRIED(445, EventLevel.INFO, "A request in quarantine was let through"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AdmittedRequest.java
@@ -0,0 +1,29 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.forward.Lane;
+import io.lagoonseam.core.forward.Route;
+import io.lagoonseam.core.resume.StreamKey;
+
+/**
+ * The properties of a request that are determined before it is forwarded.
+ *
+ * @param callerHeaders the evaluated header fields of the caller
+ * @param route the route of the request
+ * @param lane the latency lane at the service if this node chooses the worker
+ * @param homeLane the latency lane at the service if its home chooses the worker
+ * @param service the name of the service
+ * @param workspace the workspace, empty for an anonymous request
+ * @param stream identifies the stream if the route streams
+ * @param softwareVersion the software version that began the stream, empty for a stream that begins
+ * @param priority the rank of the request, 0 is the most urgent
+ */
+record AdmittedRequest(
+        CallerRequestHeaders callerHeaders,
+        Route route,
+        Lane lane,
+        Lane homeLane,
+        String service,
+        String workspace,
+        StreamKey stream,
+        String softwareVersion,
+        int priority) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -111,11 +111,15 @@
         end(body);
     }
 
-    /** Writes a response without a body that this node generates itself. */
-    void writeNodeResponse(int status, String requestId, long retryAfterMillis) {
+    /** Writes a response that this node generates itself; its body is the explanation, which may be empty. */
+    void writeNodeResponse(int status, String requestId, long retryAfterMillis, String explanation) {
         response.setStatusCode(status);
         protocol.addNodeHeaders(response.headers(), requestId, retryAfterMillis);
-        response.end();
+        if (explanation.isEmpty()) {
+            response.end();
+        } else {
+            response.putHeader("Content-Type", "text/plain; charset=utf-8").end(explanation);
+        }
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -20,6 +20,7 @@
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.hash.Rendezvous;
 import io.lagoonseam.core.placement.PlacementDecision;
+import io.lagoonseam.core.quarantine.Quarantine;
 import io.lagoonseam.core.ratelimit.Permit;
 import io.lagoonseam.core.ratelimit.PermitSource;
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
@@ -35,6 +36,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -82,6 +84,8 @@
     private final VersionHistory versionHistory = new VersionHistory();
     private final RouteHistory routeHistory = new RouteHistory();
     private StreamOriginSource origins = StreamOriginSource.NONE;
+    private Quarantine quarantine = Quarantine.NONE;
+    private final Set<ForwardedRequest> sent = new LinkedHashSet<>();
     private PlacementClient placement;
     private Runnable onWork = () -> {};
     private RoutingConfiguration configuration;
@@ -153,6 +157,26 @@
         return origins;
     }
 
+    /** Sets what tells which requests are not to be sent, since workers crash under them. */
+    void quarantine(Quarantine value) {
+        this.quarantine = value;
+    }
+
+    /** Creates what decides whether the quarantine lets a request through. */
+    QuarantineGate newGate(CallerRequestHeaders callerHeaders, String workspace) {
+        return new QuarantineGate(quarantine, crashCheck, time, callerHeaders, workspace);
+    }
+
+    /** Returns the requests that are at a worker, or about to be sent to one. */
+    Set<ForwardedRequest> sent() {
+        return sent;
+    }
+
+    /** Takes the requests that have come into quarantine from workers that have not begun to answer them. */
+    void onQuarantined() {
+        List.copyOf(sent).forEach(ForwardedRequest::onQuarantined);
+    }
+
     /**
      * Returns whether what a worker sends comes from the software version that it had when the request was sent: not if
      * it has started again under its id since.
@@ -301,11 +325,6 @@
         connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
     }
 
-    /** Returns what tells whether workers have crashed. */
-    CrashCheck crashCheck() {
-        return crashCheck;
-    }
-
     /** Returns what applies the announcements of workers and of peers about them. */
     WorkerAnnouncements announcements() {
         return announcements;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -13,6 +13,7 @@
 import io.lagoonseam.entry.placement.HomeChannel;
 import io.lagoonseam.entry.placement.HomeServer;
 import io.lagoonseam.entry.placement.PlacementClient;
+import io.lagoonseam.entry.quarantine.QuarantineExchange;
 import io.lagoonseam.entry.ratelimit.PermitClient;
 import io.lagoonseam.entry.ratelimit.PermitServer;
 import io.lagoonseam.entry.resume.StreamOriginExchange;
@@ -75,6 +76,7 @@
     private final PermitServer permitServer;
     private final PermitClient permits;
     private final StreamOriginExchange origins;
+    private final QuarantineExchange quarantine;
     private final DispatchTicker ticker;
     private final VertxPeerTransport transport;
     private final List<CollectionFollower> followers;
@@ -110,11 +112,6 @@
                 directory);
         this.storeReplica = new StoreReplica(environment, decoder, directory, dispatcher::configure, this::onUpstreams);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
-        metrics.gauge("requests.in_flight", front::inFlight);
-        metrics.gauge(
-                "answers.buffered_bytes", () -> (int) dispatcher.answerBuffers().bytes());
-        metrics.gauge("nodes.alive", dispatcher::nodeCount);
-        metrics.gauge("workers.serving", () -> dispatcher.workers().size());
         this.operations = new OperationsServer(vertx, this::ready, registry);
         this.nodes = new NodeDirectory(environment, store, dispatcher::nodeCount);
         this.transport = new VertxPeerTransport(new PeerTransportOptions(
@@ -144,6 +141,8 @@
         dispatcher.permits(permits);
         this.origins = newOriginExchange();
         dispatcher.origins(origins);
+        this.quarantine = newQuarantine();
+        dispatcher.quarantine(quarantine);
         addGauges(metrics);
         this.homes = new HomeServer(
                 new HomeServer.Environment(
@@ -229,6 +228,20 @@
         metrics.gauge("nodes.alive", dispatcher::nodeCount);
         metrics.gauge("workers.serving", () -> dispatcher.workers().size());
         metrics.gauge("streams.remembered", origins::size);
+        metrics.gauge("quarantine.suspects", quarantine::size);
+    }
+
+    private QuarantineExchange newQuarantine() {
+        Vertx vertx = environment.vertx();
+        return new QuarantineExchange(new QuarantineExchange.Environment(
+                environment.time(),
+                transport,
+                task -> vertx.runOnContext(nothing -> task.run()),
+                (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
+                environment.random(),
+                nodes.ownId(),
+                nodes::others,
+                new QuarantineListener(environment.events(), dispatcher::onQuarantined)));
     }
 
     private StreamOriginExchange newOriginExchange() {
@@ -308,6 +321,7 @@
         ticker.wake();
         nodes.checkNodes();
         exchange.broadcast();
+        quarantine.tick();
         dispatcher.ejectFailing();
         exchange.pullIfUnconfigured();
     }
@@ -357,6 +371,7 @@
         homes.stop();
         permitServer.stop();
         origins.handOver();
+        quarantine.handOver();
         environment.vertx().setTimer(BALANCER_GRACE_MILLIS, timer -> {
             front.stopAccepting();
             environment.vertx().setPeriodic(STOP_POLL_MILLIS, pollTimer -> {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -7,14 +7,12 @@
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.PromptSegments;
 import io.lagoonseam.core.forward.RetryAfter;
-import io.lagoonseam.core.forward.Route;
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.forward.WorkKind;
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.ratelimit.Permit;
-import io.lagoonseam.core.resume.StreamKey;
 import io.lagoonseam.core.resume.StreamOrigin;
 import io.lagoonseam.core.time.TimeReading;
 import io.lagoonseam.entry.placement.PlacedRequest;
@@ -40,39 +38,11 @@
      */
     private static final long DEADLINE_GRACE_MILLIS = 15;
 
-    /** Share of the latency objective that a request waits for a slot before it is refused. */
-    private static final double SLOT_WAIT_SHARE = 0.35;
-
-    /**
-     * Minimum time that a stream which has begun waits for a slot, in milliseconds: half of the shortest gap after
-     * which callers abandon a stream, since few workers may have its version.
-     */
-    private static final long GOING_ON_WAIT_MILLIS = 1_000;
-
-    /** Share of the latency objective that a request waits if this node knows no worker. */
-    private static final double NO_WORKER_WAIT_SHARE = 0.12;
-
-    /**
-     * Minimum response timeout, until a worker sends the first events of a request that may be retried, as a multiple
-     * of the latency objective; twice the expected time to the first event applies if it is longer.
-     */
-    private static final double RESPONSE_TIMEOUT_FACTOR = 1.5;
-
-    /** Idle timeout of a resumable stream from a worker, as a multiple of the objective for the gap between events. */
-    private static final double STREAM_IDLE_TIMEOUT_FACTOR = 3;
-
     /** How long the permit of a home may be used after it has arrived, in milliseconds. */
     private static final long HOME_PERMIT_LIFETIME_MILLIS = 500;
 
-    /** How long a stream is remembered after its first event, in milliseconds, if its timeout is not longer. */
-    private static final long MIN_ORIGIN_LIFETIME_MILLIS = 30_000;
-
-    private static final long MAX_ORIGIN_LIFETIME_MILLIS = 600_000;
-
     private static final String MISSING_SEAL = "a success without the worker's mark";
 
-    private static final int MIN_SUCCESS_STATUS = 200;
-    private static final int MAX_SUCCESS_STATUS = 299;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -87,6 +57,8 @@
     private final long arrivedMillis;
     private final long deadlineMillis;
     private final Set<String> triedWorkers = new HashSet<>();
+    private final RouteTimes times;
+    private final QuarantineGate gate;
     private final Runnable onDone;
     private EventSplitter splitter = new EventSplitter();
     private Buffer bufferedBody = Buffer.buffer();
@@ -105,6 +77,7 @@
     private long unreadTokens;
     private long tokensAhead;
     private long sentMillis;
+
     private UpstreamResponseHeaders answer;
     private MultiMap answerHeaders;
     /** Number of attempts that a worker has run or may have run. */
@@ -116,32 +89,8 @@
     private boolean queued;
     private boolean retryReserved;
     private boolean done;
-    private long deadlineTimer = -1;
-    private long responseTimer = -1;
-
-    /**
-     * The properties of a request that are determined before it is forwarded.
-     *
-     * @param callerHeaders the evaluated header fields of the caller
-     * @param route the route of the request
-     * @param lane the latency lane at the service if this node chooses the worker
-     * @param homeLane the latency lane at the service if its home chooses the worker
-     * @param service the name of the service
-     * @param workspace the workspace, empty for an anonymous request
-     * @param stream identifies the stream if the route streams
-     * @param softwareVersion the software version that began the stream, empty for a stream that begins
-     * @param priority the rank of the request, 0 is the most urgent
-     */
-    record AdmittedRequest(
-            CallerRequestHeaders callerHeaders,
-            Route route,
-            Lane lane,
-            Lane homeLane,
-            String service,
-            String workspace,
-            StreamKey stream,
-            String softwareVersion,
-            int priority) {}
+    private final RequestTimer deadlineTimer;
+    private final RequestTimer responseTimer;
 
     ForwardedRequest(
             ForwardEnvironment environment,
@@ -160,6 +109,10 @@
         this.body = body;
         this.arrivedMillis = arrivedMillis;
         this.log = new RequestLog(environment, metrics, admitted, arrivedMillis);
+        this.times = new RouteTimes(admitted.route());
+        this.gate = dispatcher.newGate(admitted.callerHeaders(), admitted.workspace());
+        this.deadlineTimer = new RequestTimer(environment.vertx());
+        this.responseTimer = new RequestTimer(environment.vertx());
         this.onDone = onDone;
         this.lastEventId = admitted.callerHeaders().lastEventId();
         this.softwareVersion = admitted.softwareVersion();
@@ -236,18 +189,55 @@
     void start() {
         request.response().closeHandler(nothing -> onCallerGone());
         request.response().exceptionHandler(cause -> onCallerGone());
-        long deadlineDelayMillis = Math.max(1, remainingMillis() + DEADLINE_GRACE_MILLIS);
-        deadlineTimer = environment.vertx().setTimer(deadlineDelayMillis, timer -> onDeadline());
+        deadlineTimer.restart(remainingMillis() + DEADLINE_GRACE_MILLIS, this::onDeadline);
         dispatcher.countRequest(service());
         log.accepted(remainingMillis());
-        submit();
+        enter();
+    }
+
+    /** Queues the request, unless it is in quarantine and not let through. */
+    private void enter() {
+        gate.endTry();
+        if (gate.passes()) {
+            submit();
+        } else if (runs + rejections > 0) {
+            endQuarantined();
+        } else {
+            gate.tryOnce().thenAccept(allowed -> {
+                if (done) {
+                    return;
+                }
+                if (allowed) {
+                    log.letThrough();
+                    submit();
+                } else {
+                    endQuarantined();
+                }
+            });
+        }
+    }
+
+    private void endQuarantined() {
+        String reason = gate.reason();
+        if (runs > 0) {
+            respondFromNode(BAD_GATEWAY, 0, reason);
+        } else {
+            respondFromNode(SERVICE_UNAVAILABLE, QuarantineGate.RETRY_AFTER_MILLIS, reason);
+        }
+    }
+
+    /** Takes the request from a worker that has not begun to answer it if it has come into quarantine. */
+    void onQuarantined() {
+        if (attempt != null && gate.awaitsAnswer() && !gate.passes()) {
+            attempt.cancel();
+            endAttempt();
+            endQuarantined();
+        }
     }
 
     private void submit() {
         queued = true;
-        double share = dispatcher.workers().isEmpty() ? NO_WORKER_WAIT_SHARE : SLOT_WAIT_SHARE;
-        long slotWaitMillis = Math.round(share * admitted.route().objectiveMillis());
-        long waitMillis = softwareVersion.isEmpty() ? slotWaitMillis : Math.max(slotWaitMillis, GOING_ON_WAIT_MILLIS);
+        long waitMillis = times.queueWaitMillis(!dispatcher.workers().isEmpty(), !softwareVersion.isEmpty());
         queueDeadlineMillis = Math.min(deadlineMillis, nowMillis() + waitMillis);
         dispatcher.submit(this, queueDeadlineMillis);
     }
@@ -334,20 +324,24 @@
                         admitted.callerHeaders().requestId()),
                 this);
         sentMillis = nowMillis();
+        gate.sending(worker.record());
+        dispatcher.sent().add(this);
         attempt.start();
     }
 
     @Override
     public boolean maySend() {
-        return permit.valid(environment.time());
+        return permit.valid(environment.time()) && gate.passes();
     }
 
     @Override
     public void onNotSent() {
-        log.permitExpired(worker);
+        if (!permit.valid(environment.time())) {
+            log.permitExpired(worker);
+        }
         endAttempt();
         if (!done) {
-            submit();
+            enter();
         }
     }
 
@@ -356,21 +350,11 @@
         runs++;
         sentMillis = nowMillis();
         if (kind().retryable()) {
-            long timeoutMillis =
-                    Math.round(RESPONSE_TIMEOUT_FACTOR * admitted.route().objectiveMillis());
-            restartResponseTimer(Math.max(timeoutMillis, twiceExpectedMillis()));
+            double expectedMillis = worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens);
+            responseTimer.restart(times.responseTimeoutMillis(expectedMillis), this::onResponseTimeout);
         }
     }
 
-    private long twiceExpectedMillis() {
-        return Math.round(2 * worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens));
-    }
-
-    private void restartResponseTimer(long millis) {
-        environment.vertx().cancelTimer(responseTimer);
-        responseTimer = environment.vertx().setTimer(Math.max(1, millis), timer -> onResponseTimeout());
-    }
-
     private void onResponseTimeout() {
         if (done || attempt == null) {
             return;
@@ -378,7 +362,7 @@
         boolean attemptsLeft = runs < admitted.route().maxAttempts() && remainingMillis() > 0;
         boolean mayGoOn =
                 remainingKind().retryable() && dispatcher.mayGoOnElsewhere(service(), softwareVersion, worker);
-        if (!attemptsLeft || !mayGoOn || !tryTakeRetry()) {
+        if (!attemptsLeft || !mayGoOn || !gate.passes() || !tryTakeRetry()) {
             // if no retry is possible, keep waiting: a late response is better than none
             return;
         }
@@ -402,13 +386,9 @@
         dispatcher.announcements().onAnswer(worker, received, sentMillis);
     }
 
-    private boolean hasSuccessStatus() {
-        return answer.status() >= MIN_SUCCESS_STATUS && answer.status() <= MAX_SUCCESS_STATUS;
-    }
-
     @Override
     public void onBody(Buffer bytes) {
-        if (!kind().stream() || !hasSuccessStatus()) {
+        if (!kind().stream() || !answer.succeeded()) {
             bufferedBody.appendBuffer(bytes);
             hold(bufferedBody.length());
             return;
@@ -447,6 +427,9 @@
 
     private void onEvents(Buffer events) {
         boolean progressed = splitter.progressed();
+        if (progressed) {
+            gate.answerBegan();
+        }
         if (progressed && (unreadTokens > 0 || !callerResponse.headersWritten())) {
             observeFirstEvent();
         }
@@ -460,7 +443,7 @@
         if (!callerResponse.writeEvents(events, this::onCallerDrained)) {
             // the worker is not silent while this node does not read from it
             attempt.pause();
-            environment.vertx().cancelTimer(responseTimer);
+            responseTimer.cancel();
         } else if (progressed) {
             restartIdleTimer();
         }
@@ -473,17 +456,9 @@
             softwareVersion = sentVersion;
         }
         if (kind().retryable()) {
-            long lifetimeMillis = Math.max(
-                    MIN_ORIGIN_LIFETIME_MILLIS,
-                    Math.max(
-                            admitted.callerHeaders().timeoutMillis(),
-                            admitted.route().timeoutMillis()));
-            dispatcher
-                    .origins()
-                    .began(
-                            admitted.stream(),
-                            new StreamOrigin(service(), softwareVersion),
-                            Math.min(lifetimeMillis, MAX_ORIGIN_LIFETIME_MILLIS));
+            long lifetimeMillis =
+                    times.originLifetimeMillis(admitted.callerHeaders().timeoutMillis());
+            dispatcher.origins().began(admitted.stream(), new StreamOrigin(service(), softwareVersion), lifetimeMillis);
         }
     }
 
@@ -496,8 +471,7 @@
 
     private void restartIdleTimer() {
         if (kind().retryable()) {
-            restartResponseTimer(
-                    Math.round(STREAM_IDLE_TIMEOUT_FACTOR * admitted.route().gapObjectiveMillis()));
+            responseTimer.restart(times.idleTimeoutMillis(), this::onResponseTimeout);
         }
     }
 
@@ -529,7 +503,7 @@
             decide(new AttemptResult.NotRun("status " + answer.status(), true));
             return;
         }
-        if (hasSuccessStatus() && !answer.genuine()) {
+        if (answer.succeeded() && !answer.genuine()) {
             observe(worker, OutlierDetector.Outcome.FAILED);
             decide(new AttemptResult.Broken(MISSING_SEAL));
             return;
@@ -547,7 +521,7 @@
 
     /** Returns whether a stream of events, on any kind of route, has ended before the end of its last event. */
     private boolean endsWithinEvent() {
-        if (kind().stream() && hasSuccessStatus()) {
+        if (kind().stream() && answer.succeeded()) {
             return splitter.rest().length() > 0;
         }
         return answer.eventStream() && EventSplitter.endsWithinEvent(bufferedBody);
@@ -561,10 +535,11 @@
     }
 
     private void endAttempt() {
-        environment.vertx().cancelTimer(responseTimer);
+        responseTimer.cancel();
         releaseUnreadTokens();
         worker.ended(prompt().tokens());
         placement.ended();
+        dispatcher.sent().remove(this);
         attempt = null;
     }
 
@@ -583,7 +558,7 @@
         }
         log.attemptFailed(worker, result, sentMillis, lastEventId);
         if (result instanceof AttemptResult.Broken) {
-            dispatcher.crashCheck().crashed(worker.record());
+            gate.brokeOff();
         }
         decide(result);
     }
@@ -594,16 +569,17 @@
         }
         AttemptPolicy.History history = new AttemptPolicy.History(
                 remainingKind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, remainingMillis());
-        NextStep step = AttemptPolicy.next(result, history, this::tryTakeRetry);
+        NextStep step = AttemptPolicy.next(result, history, () -> gate.passes() && tryTakeRetry());
         switch (step) {
             case RETRY -> {
                 dropAnswer();
-                submit();
+                enter();
             }
             case FORWARD_ANSWER -> forwardAnswer();
             case REFUSE -> refuse(result.toString());
             case FAIL ->
-                fail(result instanceof AttemptResult.Silent ? GATEWAY_TIMEOUT : BAD_GATEWAY, result.toString());
+                respondFromNode(
+                        result instanceof AttemptResult.Silent ? GATEWAY_TIMEOUT : BAD_GATEWAY, 0, result.toString());
         }
         dispatcher.dispatchQueued();
     }
@@ -619,7 +595,10 @@
     }
 
     private void forwardAnswer() {
-        if (kind().stream() && hasSuccessStatus()) {
+        if (answer.succeeded()) {
+            gate.answered(answer.selfDelimited());
+        }
+        if (kind().stream() && answer.succeeded()) {
             callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
             if (!answer.selfDelimited() && !callerResponse.closeDelimited()) {
                 abort("a resumed stream ended without a length or chunks");
@@ -650,10 +629,6 @@
         respondFromNode(SERVICE_UNAVAILABLE, retryAfterMillis, reason);
     }
 
-    private void fail(int status, String reason) {
-        respondFromNode(status, 0, reason);
-    }
-
     private void respondFromNode(int status, long retryAfterMillis, String reason) {
         if (callerResponse.headersWritten()) {
             abort(reason);
@@ -664,7 +639,8 @@
         } else {
             log.failed(status, reason, arrivals(), lastEventId);
         }
-        callerResponse.writeNodeResponse(status, admitted.callerHeaders().requestId(), retryAfterMillis);
+        callerResponse.writeNodeResponse(
+                status, admitted.callerHeaders().requestId(), retryAfterMillis, gate.passes() ? "" : reason);
         finish();
     }
 
@@ -685,7 +661,7 @@
     private void endUnplaced(String reason, long backlogMillis) {
         queued = false;
         if (runs > 0) {
-            fail(BAD_GATEWAY, reason);
+            respondFromNode(BAD_GATEWAY, 0, reason);
         } else {
             refuse(reason, backlogMillis);
         }
@@ -695,12 +671,12 @@
         if (done) {
             return;
         }
-        boolean unsent = queued && runs == 0;
+        boolean unsent = attempt == null && runs == 0;
         cancelWork();
         if (unsent) {
             refuse("the deadline passed while it waited");
         } else {
-            fail(GATEWAY_TIMEOUT, "the deadline passed");
+            respondFromNode(GATEWAY_TIMEOUT, 0, "the deadline passed");
         }
     }
 
@@ -730,8 +706,8 @@
     private void finish() {
         done = true;
         dropAnswer();
-        environment.vertx().cancelTimer(deadlineTimer);
-        environment.vertx().cancelTimer(responseTimer);
+        deadlineTimer.cancel();
+        responseTimer.cancel();
         onDone.run();
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -408,7 +408,7 @@
                             environment,
                             dispatcher,
                             metrics,
-                            new ForwardedRequest.AdmittedRequest(
+                            new AdmittedRequest(
                                     admission.callerHeaders(),
                                     route,
                                     admission.configuration().lanes().lane(route, service),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -5,7 +5,6 @@
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamState;
-import io.lagoonseam.entry.forward.ForwardedRequest.AdmittedRequest;
 import java.util.Locale;
 import java.util.stream.Collectors;
 
@@ -105,6 +104,10 @@
                 lastEventId);
     }
 
+    void letThrough() {
+        recordDecision(EventCode.QUARANTINE_TRIED);
+    }
+
     void permitExpired(UpstreamState worker) {
         recordDecision(EventCode.PERMIT_EXPIRED, "worker", worker.record().id());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamResponseHeaders.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamResponseHeaders.java
@@ -39,4 +39,17 @@
         boolean leaving,
         long retryAfterMillis,
         OptionalDouble limitPerSecond,
-        String malformedHeader) {}
+        String malformedHeader) {
+
+    private static final int MIN_SUCCESS_STATUS = 200;
+    private static final int MAX_SUCCESS_STATUS = 299;
+
+    /**
+     * Returns whether the status reports a success.
+     *
+     * @return true for 200 to 299
+     */
+    public boolean succeeded() {
+        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
+    }
+}
--- /dev/null
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulationTest.java
@@ -0,0 +1,129 @@
+package io.lagoonseam.entry.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.lagoonseam.core.quarantine.Suspect;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests how many requests that crash workers are sent, and what becomes of sound ones, in virtual time. */
+public class CrashSimulationTest {
+
+    private static final int SEEDS = 6;
+    private static final int ALLOWED = 3;
+    private static final int WORKERS = 12;
+    private static final long RUN_MILLIS = 60_000;
+
+    @DataProvider
+    public Object[][] nodeCounts() {
+        return new Object[][] {{1}, {8}, {95}};
+    }
+
+    /** A prompt with one of a few first parts and one of many second ones. */
+    private static Set<Suspect> sound(Random random) {
+        Set<Suspect> suspects = new HashSet<>();
+        suspects.add(Suspect.promptPart("first" + random.nextInt(4)));
+        suspects.add(Suspect.promptPart("second" + random.nextInt(80)));
+        return suspects;
+    }
+
+    private static Set<Suspect> guilty(Random random) {
+        Set<Suspect> suspects = sound(random);
+        suspects.add(CrashSimulation.GUILTY);
+        return suspects;
+    }
+
+    private static CrashSimulation simulation(int nodeCount, long seed, double guiltyPerSecond) {
+        CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, seed);
+        simulation.load(20, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
+        simulation.load(guiltyPerSecond, 4_000, RUN_MILLIS, CrashSimulationTest::guilty);
+        return simulation;
+    }
+
+    private static void assertContained(CrashSimulation simulation, String what) {
+        CrashSimulation.Result result = simulation.run(RUN_MILLIS);
+        assertTrue(result.sentLate() <= ALLOWED, what + ": " + result);
+        assertTrue(result.soundSentLate() >= 0.9 * result.soundLate(), what + ": " + result);
+    }
+
+    @DataProvider
+    public Object[][] rates() {
+        return new Object[][] {{1, 1.2}, {8, 1.2}, {95, 1.2}, {1, 6}, {8, 6}, {95, 6}, {8, 0.3}, {95, 0.3}};
+    }
+
+    @Test(dataProvider = "rates")
+    public void requestsThatCrashWorkersAreSentNoLongerAndSoundOnesAre(int nodeCount, double perSecond) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            assertContained(
+                    simulation(nodeCount, seed, perSecond), nodeCount + " nodes, " + perSecond + "/s, seed " + seed);
+        }
+    }
+
+    @Test(dataProvider = "nodeCounts")
+    public void aPartThatAllRequestsWithTheGuiltyOneHoldIsSentWithoutIt(int nodeCount) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, seed);
+            Suspect companion = Suspect.promptPart("companion");
+            simulation.load(20, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
+            simulation.load(1.5, 4_000, RUN_MILLIS, random -> Set.of(companion, CrashSimulation.GUILTY));
+            simulation.load(2, 14_000, RUN_MILLIS, random -> Set.of(companion));
+            assertContained(simulation, nodeCount + " nodes, seed " + seed);
+            assertEquals(simulation.holding(companion), 0);
+        }
+    }
+
+    @Test(dataProvider = "nodeCounts")
+    public void nodesThatAreReplacedOneByOneKeepTheQuarantine(int nodeCount) {
+        if (nodeCount == 1) {
+            return;
+        }
+        for (int seed = 0; seed < SEEDS; seed++) {
+            for (boolean planned : new boolean[] {true, false}) {
+                CrashSimulation simulation = simulation(nodeCount, seed, 1.2);
+                simulation.replaceEach(5_000, nodeCount > 50 ? 300 : 3_500, planned);
+                assertContained(simulation, nodeCount + " nodes, seed " + seed + ", planned " + planned);
+            }
+        }
+    }
+
+    @Test(dataProvider = "nodeCounts")
+    public void nodesThatDieTogetherDoNotEndTheQuarantine(int nodeCount) {
+        if (nodeCount == 1) {
+            return;
+        }
+        for (int seed = 0; seed < SEEDS; seed++) {
+            CrashSimulation simulation = simulation(nodeCount, seed, 1.2);
+            simulation.killTogether(0.4, 6_500);
+            simulation.killTogether(0.6, 20_000);
+            assertContained(simulation, nodeCount + " nodes, seed " + seed);
+        }
+    }
+
+    @Test(dataProvider = "nodeCounts")
+    public void nodesThatWereCutOffLearnWhatIsInQuarantine(int nodeCount) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            CrashSimulation simulation = simulation(nodeCount, seed, 1.2);
+            simulation.cutOff(0.4, 5_000, 6_000);
+            simulation.cutOff(0.4, 25_000, 6_000);
+            assertContained(simulation, nodeCount + " nodes, seed " + seed);
+        }
+    }
+
+    @Test(dataProvider = "nodeCounts")
+    public void workersThatCrashTogetherPutNoSoundRequestInQuarantine(int nodeCount) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, seed);
+            simulation.load(40, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
+            for (int round = 0; round < 5; round++) {
+                simulation.crashWorkers(8, 10_000 + round * 8_000L);
+            }
+            CrashSimulation.Result result = simulation.run(RUN_MILLIS);
+            assertEquals(result.soundSentLate(), result.soundLate(), nodeCount + " nodes, seed " + seed);
+            assertEquals(simulation.mostHeld(), 0, "suspects in quarantine");
+        }
+    }
+}
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -2,8 +2,8 @@
 
 /**
  * The numbers of message types. Numbers are never reused: 1 to 19 are for membership, 20 to 29 for operations, 30 to 39
- * for configuration, 40 to 49 for limits, 50 to 59 for routing and 70 to 79 for forwarding. 60 to 69 were used by
- * placement, which no longer exists.
+ * for configuration, 40 to 49 for limits, 50 to 59 for routing, 70 to 79 for forwarding and 80 to 89 for the
+ * quarantine. 60 to 69 were used by placement, which no longer exists.
  */
 public final class MessageTypes {
 
@@ -73,5 +73,28 @@
     /** Asks what began a stream: {@link StreamOriginMessages.Ask}, answered by {@link StreamOriginMessages.Answer}. */
     public static final int STREAM_ORIGIN_ASK = 76;
 
+    /**
+     * Reports crashes to the nodes that count them: {@link QuarantineMessages.Histories}; answered by an empty message.
+     */
+    public static final int CRASH_REPORT = 80;
+
+    /** Tells what is in quarantine: {@link QuarantineMessages.Histories}; answered by an empty message. */
+    public static final int QUARANTINE = 81;
+
+    /**
+     * Asks for what is in quarantine: {@link QuarantineMessages.Sync}, answered by
+     * {@link QuarantineMessages.Histories}.
+     */
+    public static final int QUARANTINE_SYNC = 82;
+
+    /** Asks for whole answers: {@link QuarantineMessages.Ask}, answered by {@link QuarantineMessages.Ages}. */
+    public static final int WHOLE_ANSWERS_ASK = 83;
+
+    /**
+     * Asks for a request to be let through: {@link QuarantineMessages.Try}, answered by
+     * {@link QuarantineMessages.Decision}.
+     */
+    public static final int QUARANTINE_TRY = 84;
+
     private MessageTypes() {}
 }
