Log a keyed digest of each request

Event 211 has a digest of host, path, caller and body. All nodes use one key, which no caller knows: a node that starts takes it over from the first node that answers, and nodes that start together or apart agree on the oldest one. The store is not involved.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Quarantine.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Quarantine.java
@@ -10,6 +10,13 @@
 
     /** A quarantine that never holds. */
     Quarantine NONE = new Quarantine() {
+        private final DigestKey key = DigestKey.draw(0);
+
+        @Override
+        public DigestKey key() {
+            return key;
+        }
+
         @Override
         public Set<Suspect> inForce(Set<Suspect> suspects) {
             return Set.of();
@@ -31,6 +38,13 @@
         }
     };
 
+    /**
+     * Returns the key of the digests of requests.
+     *
+     * @return the key, which may change while nodes agree on one
+     */
+    DigestKey key();
+
     /**
      * Returns for which of its suspects a request is not to be sent.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -32,7 +32,9 @@
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.placement.PlacementClient;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -163,8 +165,8 @@
     }
 
     /** Creates what decides whether the quarantine lets a request through. */
-    QuarantineGate newGate(CallerRequestHeaders callerHeaders, String workspace) {
-        return new QuarantineGate(quarantine, crashCheck, time, callerHeaders, workspace);
+    QuarantineGate newGate(AdmittedRequest admitted, HttpServerRequest request, Buffer body) {
+        return new QuarantineGate(quarantine, crashCheck, time, admitted, request, body);
     }
 
     /** Returns the requests that are at a worker, or about to be sent to one. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -110,7 +110,7 @@
         this.arrivedMillis = arrivedMillis;
         this.log = new RequestLog(environment, metrics, admitted, arrivedMillis);
         this.times = new RouteTimes(admitted.route());
-        this.gate = dispatcher.newGate(admitted.callerHeaders(), admitted.workspace());
+        this.gate = dispatcher.newGate(admitted, request, body);
         this.deadlineTimer = new RequestTimer(environment.vertx());
         this.responseTimer = new RequestTimer(environment.vertx());
         this.onDone = onDone;
@@ -191,7 +191,7 @@
         request.response().exceptionHandler(cause -> onCallerGone());
         deadlineTimer.restart(remainingMillis() + DEADLINE_GRACE_MILLIS, this::onDeadline);
         dispatcher.countRequest(service());
-        log.accepted(remainingMillis());
+        log.accepted(remainingMillis(), gate.digest());
         enter();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
@@ -5,6 +5,8 @@
 import io.lagoonseam.core.quarantine.Quarantine;
 import io.lagoonseam.core.quarantine.Suspect;
 import io.lagoonseam.core.time.TimeSource;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -23,6 +25,7 @@
     private final Map<Suspect, String> names = new LinkedHashMap<>();
     private final long caller;
     private final Set<Suspect> tried = new HashSet<>();
+    private final long digest;
     private final CrashCheck crashCheck;
     private final TimeSource time;
     private UpstreamRecord worker;
@@ -34,13 +37,24 @@
             Quarantine quarantine,
             CrashCheck crashCheck,
             TimeSource time,
-            CallerRequestHeaders callerHeaders,
-            String workspace) {
+            AdmittedRequest admitted,
+            HttpServerRequest request,
+            Buffer body) {
         this.quarantine = quarantine;
         this.crashCheck = crashCheck;
         this.time = time;
-        this.caller = Rendezvous.hash(workspace);
-        callerHeaders.sharedParts().forEach(part -> names.put(Suspect.promptPart(part), "the prompt part " + part));
+        this.caller = Rendezvous.hash(admitted.workspace());
+        this.digest = quarantine
+                .key()
+                .digest(request.authority().host(), request.uri(), admitted.workspace(), body.getBytes());
+        admitted.callerHeaders()
+                .sharedParts()
+                .forEach(part -> names.put(Suspect.promptPart(part), "the prompt part " + part));
+    }
+
+    /** Returns the digest of the request, which is the same for equal requests of the same caller. */
+    long digest() {
+        return digest;
     }
 
     private Set<Suspect> inForce() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -37,7 +37,7 @@
         return nowMillis() - arrivedMillis;
     }
 
-    void accepted(long remainingMillis) {
+    void accepted(long remainingMillis, long digest) {
         recordDecision(
                 EventCode.REQUEST_TAKEN,
                 "route",
@@ -58,6 +58,8 @@
                 admitted.callerHeaders().sharedParts().stream()
                         .limit(MAX_LOGGED_PARTS)
                         .collect(Collectors.joining(",")),
+                "digest",
+                Long.toHexString(digest),
                 "resumes",
                 admitted.callerHeaders().resumedRequestId());
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
@@ -7,6 +7,8 @@
 import io.lagoonseam.core.quarantine.Crash;
 import io.lagoonseam.core.quarantine.CrashHistories;
 import io.lagoonseam.core.quarantine.CrashHistory;
+import io.lagoonseam.core.quarantine.DigestKey;
+import io.lagoonseam.core.quarantine.DigestKeys;
 import io.lagoonseam.core.quarantine.Quarantine;
 import io.lagoonseam.core.quarantine.Suspect;
 import io.lagoonseam.core.quarantine.WholeAnswers;
@@ -18,7 +20,9 @@
 import io.lagoonseam.wire.QuarantineMessages.Decision;
 import io.lagoonseam.wire.QuarantineMessages.Entry;
 import io.lagoonseam.wire.QuarantineMessages.Histories;
+import io.lagoonseam.wire.QuarantineMessages.KeyOffer;
 import io.lagoonseam.wire.QuarantineMessages.Sync;
+import io.lagoonseam.wire.QuarantineMessages.SyncAnswer;
 import io.lagoonseam.wire.QuarantineMessages.Try;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -80,6 +84,7 @@
     private final CrashHistories own = new CrashHistories(MAX_REPORTED);
     private final CrashHistories counted = new CrashHistories(MAX_COUNTED);
     private final CrashHistories quarantine = new CrashHistories(MAX_QUARANTINED);
+    private final DigestKeys keys;
     private final WholeAnswers wholeAnswers = new WholeAnswers();
     private final Map<Suspect, Report> reports = new HashMap<>();
     private final Map<Suspect, Long> undecided = new HashMap<>();
@@ -158,6 +163,7 @@
      */
     public QuarantineExchange(Environment environment) {
         this.environment = environment;
+        this.keys = new DigestKeys(DigestKey.draw(environment.time().wallMillis()), nowMillis());
         register(MessageTypes.CRASH_REPORT, payload -> {
             decode(payload).entries().forEach(this::count);
             return new byte[0];
@@ -167,8 +173,11 @@
             return new byte[0];
         });
         register(MessageTypes.QUARANTINE_SYNC, payload -> {
-            boolean same = Sync.decode(payload).fingerprint() == quarantine.fingerprint();
-            return encode(same ? List.of() : sample());
+            Sync sync = Sync.decode(payload);
+            learn(sync.offer());
+            boolean same = sync.fingerprint() == quarantine.fingerprint();
+            Histories histories = new Histories(quarantine.fingerprint(), same ? List.of() : sample());
+            return new SyncAnswer(offer(), histories).encode(nowMillis());
         });
         register(
                 MessageTypes.WHOLE_ANSWERS_ASK,
@@ -211,6 +220,19 @@
         return entries(quarantine, suspects.subList(0, Math.min(MAX_ENTRIES, suspects.size())));
     }
 
+    private KeyOffer offer() {
+        return new KeyOffer(keys.key(), keys.settled(nowMillis()));
+    }
+
+    private void learn(KeyOffer offer) {
+        keys.learn(offer.key(), offer.settled(), nowMillis());
+    }
+
+    @Override
+    public DigestKey key() {
+        return keys.key();
+    }
+
     private long newId() {
         return 1 + environment.random().nextLong(Long.MAX_VALUE - 1);
     }
@@ -515,11 +537,13 @@
         }
         Collections.shuffle(nodes, environment.random());
         for (String node : nodes.subList(0, Math.min(synced ? 1 : COUNTING_NODES, nodes.size()))) {
-            byte[] payload = new Sync(quarantine.fingerprint()).encode();
+            byte[] payload = new Sync(offer(), quarantine.fingerprint()).encode();
             request(node, MessageTypes.QUARANTINE_SYNC, payload, TELL_TIMEOUT_MILLIS, reply -> {
                 if (reply instanceof PeerReply.Answered answered) {
                     synced = true;
-                    Histories theirs = decode(answered.payload());
+                    SyncAnswer answer = SyncAnswer.decode(answered.payload(), nowMillis());
+                    learn(answer.offer());
+                    Histories theirs = answer.histories();
                     theirs.entries().forEach(this::learn);
                     if (theirs.fingerprint() != quarantine.fingerprint()) {
                         request(node, MessageTypes.QUARANTINE, encode(sample()), TELL_TIMEOUT_MILLIS, told -> {});
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/QuarantineMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/QuarantineMessages.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.quarantine.Crash;
 import io.lagoonseam.core.quarantine.CrashHistory;
+import io.lagoonseam.core.quarantine.DigestKey;
 import io.lagoonseam.core.quarantine.Suspect;
 import java.util.HashSet;
 import java.util.List;
@@ -111,11 +112,32 @@
     }
 
     /**
-     * Asks for the histories in quarantine, if the receiver knows others; answered by {@link Histories}.
+     * The key of digests that a node has.
      *
+     * @param key the key
+     * @param settled whether it is that of other nodes, as far as the node can know
+     */
+    public record KeyOffer(DigestKey key, boolean settled) {
+
+        private void write(MessageWriter writer) {
+            writer.number(key.seed())
+                    .number(key.secretSeed())
+                    .number(key.createdMillis())
+                    .flag(settled);
+        }
+
+        private static KeyOffer read(MessageReader reader) {
+            return new KeyOffer(new DigestKey(reader.number(), reader.number(), reader.number()), reader.flag());
+        }
+    }
+
+    /**
+     * Asks for the histories in quarantine, if the receiver knows others; answered by {@link SyncAnswer}.
+     *
+     * @param offer the key of digests of the sender
      * @param fingerprint the fingerprint of all that the sender knows
      */
-    public record Sync(long fingerprint) {
+    public record Sync(KeyOffer offer, long fingerprint) {
 
         /**
          * Encodes the message.
@@ -123,7 +145,9 @@
          * @return MessagePack
          */
         public byte[] encode() {
-            return new MessageWriter(VERSION).number(fingerprint).bytes();
+            MessageWriter writer = new MessageWriter(VERSION);
+            offer.write(writer);
+            return writer.number(fingerprint).bytes();
         }
 
         /**
@@ -134,7 +158,42 @@
          * @throws IllegalArgumentException if the bytes are not a message of this version
          */
         public static Sync decode(byte[] payload) {
-            return new Sync(new MessageReader(payload, VERSION).number());
+            MessageReader reader = new MessageReader(payload, VERSION);
+            return new Sync(KeyOffer.read(reader), reader.number());
+        }
+    }
+
+    /**
+     * The answer to {@link Sync}.
+     *
+     * @param offer the key of digests of the sender
+     * @param histories what it knows, without entries if the receiver knows the same
+     */
+    public record SyncAnswer(KeyOffer offer, Histories histories) {
+
+        /**
+         * Encodes the message.
+         *
+         * @param nowMillis the current time on the monotonic clock of this node, in milliseconds
+         * @return MessagePack
+         */
+        public byte[] encode(long nowMillis) {
+            MessageWriter writer = new MessageWriter(VERSION);
+            offer.write(writer);
+            return writer.binary(histories.encode(nowMillis)).bytes();
+        }
+
+        /**
+         * Decodes a message.
+         *
+         * @param payload MessagePack
+         * @param nowMillis the current time on the monotonic clock of this node, in milliseconds
+         * @return the message
+         * @throws IllegalArgumentException if the bytes are not a message of this version
+         */
+        public static SyncAnswer decode(byte[] payload, long nowMillis) {
+            MessageReader reader = new MessageReader(payload, VERSION);
+            return new SyncAnswer(KeyOffer.read(reader), Histories.decode(reader.binary(), nowMillis));
         }
     }
 
