--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CrashingRequestTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CrashingRequestTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntConsumer;
+import java.util.function.IntUnaryOperator;
 import java.util.function.ToLongFunction;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -35,6 +37,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger sound = new AtomicInteger();
+    private final AtomicInteger ids = new AtomicInteger();
     private ExecutorService threads;
     private LocalDeployment deployment;
 
@@ -76,9 +79,11 @@
         }
     }
 
-    private void startEngines(JsonObject faults) {
+    private void startWorkers(String service, JsonObject faults) {
         for (int index = 0; index < WORKERS; index++) {
-            WorkerStandIn worker = deployment.startWorker("llm", WorkerOptions.engine("e" + index));
+            String id = "w" + index;
+            WorkerOptions options = "llm".equals(service) ? WorkerOptions.engine(id) : WorkerOptions.plain(id);
+            WorkerStandIn worker = deployment.startWorker(service, options);
             worker.setFaults(faults);
             workers.add(worker);
         }
@@ -90,9 +95,16 @@
 
     /** Sends a request to a node in turn, and returns its status, 0 if its connection closed. */
     private int send(int number, String parts) {
-        LocalDeployment.Node node = nodes.get(number % nodes.size());
-        HttpRequest.Builder request = deployment.request(node, "/chat/x", "r" + number + "-" + parts.hashCode());
+        HttpRequest.Builder request = request(number, "/chat/x");
         Map.of("X-Token-Counts", "300,8", "X-Prompt-Prefix", parts).forEach(request::header);
+        return status(request);
+    }
+
+    private HttpRequest.Builder request(int number, String path) {
+        return deployment.request(nodes.get(number % nodes.size()), path, "r" + ids.incrementAndGet());
+    }
+
+    private int status(HttpRequest.Builder request) {
         try {
             return deployment.send(request.build()).statusCode();
         } catch (IOException e) {
@@ -102,13 +114,13 @@
         }
     }
 
-    /** Callers of sound requests, which share the first part of those that crash workers. */
-    private void startSoundCallers() {
+    /** Calls with one number after the other, and counts the answers with status 200. */
+    private void startSoundCallers(IntUnaryOperator statusOf) {
         for (int caller = 0; caller < 4; caller++) {
             int first = 100_000 * (caller + 1);
             threads.submit(() -> {
                 for (int number = first; !ended.get(); number++) {
-                    boolean whole = send(number, "a" + number % 3 + ":100,b" + number % 5 + ":50,own:100") == 200;
+                    boolean whole = statusOf.applyAsInt(number) == 200;
                     sound.incrementAndGet();
                     served.addAndGet(whole ? 1 : 0);
                     sleep(20);
@@ -125,35 +137,65 @@
         }
     }
 
-    /** Sends requests that crash workers until five have crashed. */
-    private int crashFive(String part) {
+    /**
+     * Has requests crash workers, and checks what becomes of more of them, and of sound ones, when all nodes have to
+     * know.
+     *
+     * @param crashes the number of crashes
+     * @param send sends the request with a number
+     */
+    private void assertContained(int crashes, IntConsumer send) {
         int number = 0;
-        for (; sum(WorkerStandIn::crashes) < 5 && number < 60; number++) {
-            send(number, "a" + number % 3 + ":100," + part + ":50,own" + number + ":100");
+        for (; sum(WorkerStandIn::crashes) < crashes && number < 60; number++) {
+            send.accept(number);
             sleep(150);
         }
-        return number;
-    }
-
-    @Test(dataProvider = "nodeCounts")
-    public void requestsWithAPartThatCrashesWorkersAreSentToNoMoreOfThem(int nodeCount) {
-        startEngines(new JsonObject().put("crashPart", "bad").put("crashMillis", 700));
-        startNodes(nodeCount);
-        startSoundCallers();
-        int number = crashFive("bad");
         sleep(CONTACT_MILLIS);
-        long sentBefore = sum(WorkerStandIn::crashPartArrivals);
+        long sentBefore = sum(WorkerStandIn::crashingArrivals);
         int soundBefore = sound.get();
         int servedBefore = served.get();
         for (int more = 0; more < 24; more++) {
-            send(number + more, "a" + more % 3 + ":100,bad:50,own" + (number + more) + ":100");
+            send.accept(number + more);
             sleep(80);
         }
-        long sentAfter = sum(WorkerStandIn::crashPartArrivals) - sentBefore;
-        assertTrue(sentAfter <= ALLOWED, sentAfter + " requests with the part reached workers after five crashes");
+        long sentAfter = sum(WorkerStandIn::crashingArrivals) - sentBefore;
+        assertTrue(sentAfter <= ALLOWED, sentAfter + " requests reached workers after " + crashes + " crashes");
         int soundSent = sound.get() - soundBefore;
         int soundServed = served.get() - servedBefore;
         assertTrue(soundServed >= 0.9 * soundSent, soundServed + " of " + soundSent + " sound requests were served");
+    }
+
+    /** The sound requests share the first part of those that crash workers. */
+    @Test(dataProvider = "nodeCounts")
+    public void requestsWithAPartThatCrashesWorkersAreSentToNoMoreOfThem(int nodeCount) {
+        startWorkers("llm", new JsonObject().put("crashPart", "bad").put("crashMillis", 700));
+        startNodes(nodeCount);
+        startSoundCallers(number -> send(number, "a" + number % 3 + ":100,b" + number % 5 + ":50,own:100"));
+        assertContained(5, number -> send(number, "a" + number % 3 + ":100,bad:50,own" + number + ":100"));
         assertEquals(send(0, "a0:100,b1:50,own:100"), 200);
     }
+
+    private int sendBody(int number, String body) {
+        HttpRequest.Builder request = request(number, "/chat/x").POST(HttpRequest.BodyPublishers.ofString(body));
+        Map.of("X-Token-Counts", "300,8", "X-Prompt-Prefix", "a:100,own:100").forEach(request::header);
+        return status(request);
+    }
+
+    /** The sound requests have the same path, caller and prompt, and other bodies. */
+    @Test(dataProvider = "nodeCounts")
+    public void aRequestThatCrashesWorkersIsSentToNoMoreOfThem(int nodeCount) {
+        startWorkers("llm", new JsonObject().put("crashText", "crash").put("crashMillis", 700));
+        startNodes(nodeCount);
+        startSoundCallers(number -> sendBody(number, "body " + number));
+        assertContained(3, number -> sendBody(number, "crash"));
+    }
+
+    /** The node sends the request to a second worker if the first one breaks off. */
+    @Test
+    public void aRequestWithoutBodyThatCrashesWorkersIsSentToNoMoreOfThem() {
+        startWorkers("app", new JsonObject().put("crashText", "crash").put("crashMillis", 700));
+        startNodes(8);
+        startSoundCallers(number -> status(request(number, "/read/" + number)));
+        assertContained(3, number -> status(request(number, "/read/crash")));
+    }
 }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/EngineRun.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/EngineRun.java
@@ -17,6 +17,7 @@
     int sentEvents;
     boolean running;
     boolean started;
+    boolean crashes;
 
     /** A segment of a prompt, identified by the id that callers send, with its length in tokens. */
     record PromptSegment(String id, int tokens) {}
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/worker/WorkerStandIn.java
@@ -49,9 +49,10 @@
     private String pauseSeconds = "";
     private String limitPerSecond = "";
     private String crashPart = "";
+    private String crashText = "";
     private long crashMillis;
     private final AtomicLong crashes = new AtomicLong();
-    private final AtomicLong crashPartArrivals = new AtomicLong();
+    private final AtomicLong crashingArrivals = new AtomicLong();
     private final Queue<Arrival> arrivalRecords = new ConcurrentLinkedQueue<>();
 
     /**
@@ -116,8 +117,9 @@
     private void handleRequest(RoutingContext context) {
         arrivals.incrementAndGet();
         HttpServerRequest request = context.request();
-        if (holdsCrashPart(request)) {
-            crashPartArrivals.incrementAndGet();
+        String body = String.valueOf(context.body().asString());
+        if (crashesWorker(request, body)) {
+            crashingArrivals.incrementAndGet();
         }
         arrivalRecords.add(new Arrival(requestId(request), TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
         if (leaving) {
@@ -145,7 +147,7 @@
             return;
         }
         if (options.isEngine()) {
-            runEngineRequest(request);
+            runEngineRequest(request, crashesWorker(request, body));
         } else {
             runPlainRequest(context);
         }
@@ -176,6 +178,10 @@
 
     private void runPlainRequest(RoutingContext context) {
         HttpServerRequest request = context.request();
+        if (crashesWorker(request, String.valueOf(context.body().asString()))) {
+            crash();
+            return;
+        }
         if (plainRunning >= options.slots() + options.queueCapacity()) {
             reject(request);
             return;
@@ -185,7 +191,7 @@
         recordRun(request);
         long waves = 1 + plainRunning / Math.max(1, options.slots());
         vertx.setTimer(Math.max(1, waves * options.requestMillis()), timer -> {
-            plainRunning--;
+            plainRunning = Math.max(0, plainRunning - 1);
             if (random.nextDouble() < lostAnswerShare) {
                 dropConnection(context);
             } else if (!request.response().closed()) {
@@ -204,7 +210,7 @@
                 .putHeader("Keep-Alive", "timeout=5");
     }
 
-    private void runEngineRequest(HttpServerRequest request) {
+    private void runEngineRequest(HttpServerRequest request, boolean crashes) {
         MultiMap headers = request.headers();
         String lastEventId = headers.get("Last-Event-Id");
         String urgency = headers.get("X-Request-Urgency");
@@ -215,6 +221,7 @@
                 segments(headers.get("X-Prompt-Prefix")),
                 eventCount(headers.get("X-Token-Counts")),
                 lastEventId == null ? 1 : 1 + Integer.parseInt(lastEventId));
+        run.crashes = crashes;
         if (!batch.tryAdd(run)) {
             reject(request);
             return;
@@ -222,6 +229,11 @@
         request.connection().closeHandler(nothing -> batch.remove(run));
     }
 
+    private boolean crashesWorker(HttpServerRequest request, String body) {
+        boolean holdsText = !crashText.isEmpty() && (request.uri().contains(crashText) || body.contains(crashText));
+        return holdsText || holdsCrashPart(request);
+    }
+
     private boolean holdsCrashPart(HttpServerRequest request) {
         return !crashPart.isEmpty()
                 && segments(request.getHeader("X-Prompt-Prefix")).stream()
@@ -256,7 +268,7 @@
         if (!batch.holds(run)) {
             return;
         }
-        if (holdsCrashPart(run.request)) {
+        if (run.crashes) {
             crash();
             return;
         }
@@ -302,6 +314,7 @@
         pauseSeconds = faults.getString("pauseSeconds", pauseSeconds);
         limitPerSecond = faults.getString("limitPerSecond", limitPerSecond);
         crashPart = faults.getString("crashPart", crashPart);
+        crashText = faults.getString("crashText", crashText);
         crashMillis = faults.getLong("crashMillis", crashMillis);
     }
 
@@ -368,8 +381,8 @@
      *
      * @return the number of requests
      */
-    public long crashPartArrivals() {
-        return crashPartArrivals.get();
+    public long crashingArrivals() {
+        return crashingArrivals.get();
     }
 
     /**
