Stop sending a request that crashes workers each time it comes again, at all nodes

So the quarantine counts crashes under the request too, by its keyed digest, and holds it after three. A request that was there at the same crashes as its parts is held, and its parts are not, so that sound requests with them are served.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistories.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistories.java
@@ -58,7 +58,8 @@
 
     /**
      * Returns whether requests with a suspect are not to be sent: enough crashes count, and no other suspect in
-     * quarantine was there at all of them and at others besides.
+     * quarantine was there at all of them and at others besides. If a request was there at the same crashes as a part
+     * of it, the request is held and the part is not.
      *
      * @param suspect the suspect
      * @return true if they are not to be sent
@@ -72,7 +73,8 @@
                 .filter(entry -> !entry.getKey().equals(suspect))
                 .noneMatch(entry -> entry.getValue().sufficient(entry.getKey().kind())
                         && history.isWithin(entry.getValue())
-                        && !entry.getValue().isWithin(history));
+                        && (!entry.getValue().isWithin(history)
+                                || entry.getKey().kind().compareTo(suspect.kind()) > 0));
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Suspect.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Suspect.java
@@ -13,7 +13,9 @@
     /** The kinds of what requests have in common. */
     public enum Kind {
         /** A part of prompts that other prompts may hold too. */
-        PROMPT_PART(4);
+        PROMPT_PART(4),
+        /** A request that comes again: its host, path, caller and body. */
+        REQUEST(3);
 
         private final int crashesToQuarantine;
 
@@ -41,6 +43,16 @@
         return new Suspect(Kind.PROMPT_PART, Rendezvous.hash(id));
     }
 
+    /**
+     * Returns the suspect that stands for a request and those that are equal to it.
+     *
+     * @param digest the digest of the request
+     * @return the suspect
+     */
+    public static Suspect request(long digest) {
+        return new Suspect(Kind.REQUEST, digest);
+    }
+
     /**
      * Returns the name of the role of the nodes that count the crashes.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/WholeAnswers.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/WholeAnswers.java
@@ -1,13 +1,14 @@
 package io.lagoonseam.core.quarantine;
 
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 
 /**
  * Remembers when workers began the last whole answers to requests with each suspect. Their number is bounded; beyond it
- * the oldest is forgotten. Not thread-safe.
+ * the oldest of the same kind is forgotten. Not thread-safe.
  */
 public final class WholeAnswers {
 
@@ -16,7 +17,8 @@
     /** The number of suspects of one request that are remembered, so that no request displaces all others. */
     private static final int MAX_SUSPECTS_PER_ANSWER = 64;
 
-    private final Map<Suspect, Long> beganMillis = new LinkedHashMap<>();
+    /** Apart for each kind, since there are many more requests than parts of prompts. */
+    private final Map<Suspect.Kind, Map<Suspect, Long>> beganMillisByKind = new EnumMap<>(Suspect.Kind.class);
 
     /**
      * Records a whole answer.
@@ -26,14 +28,19 @@
      */
     public void record(Collection<Suspect> suspects, long atMillis) {
         suspects.stream().limit(MAX_SUSPECTS_PER_ANSWER).forEach(suspect -> {
+            Map<Suspect, Long> beganMillis = ofKind(suspect);
             Long before = beganMillis.remove(suspect);
             beganMillis.put(suspect, before == null ? atMillis : Math.max(before, atMillis));
+            if (beganMillis.size() > MAX_SUSPECTS) {
+                var oldest = beganMillis.keySet().iterator();
+                oldest.next();
+                oldest.remove();
+            }
         });
-        var oldest = beganMillis.keySet().iterator();
-        while (beganMillis.size() > MAX_SUSPECTS) {
-            oldest.next();
-            oldest.remove();
-        }
+    }
+
+    private Map<Suspect, Long> ofKind(Suspect suspect) {
+        return beganMillisByKind.computeIfAbsent(suspect.kind(), kind -> new LinkedHashMap<>());
     }
 
     /**
@@ -43,7 +50,7 @@
      * @return the time, in milliseconds; empty if none is remembered
      */
     public OptionalLong lastBeganMillis(Suspect suspect) {
-        Long millis = beganMillis.get(suspect);
+        Long millis = ofKind(suspect).get(suspect);
         return millis == null ? OptionalLong.empty() : OptionalLong.of(millis);
     }
 }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
@@ -137,6 +137,36 @@
         assertTrue(both.ambiguous(PART));
     }
 
+    @Test
+    public void aRequestIsHeldRatherThanThePartOfItThatWasThereAtTheSameCrashes() {
+        CrashHistories known = new CrashHistories(10);
+        Suspect request = Suspect.request(1);
+        known.merge(request, crashes(ENOUGH, 1_000, 500));
+        known.merge(PART, crashes(ENOUGH, 1_000, 500));
+        assertTrue(known.quarantined(request));
+        assertFalse(known.quarantined(PART));
+        known.merge(PART, crash(99, 20_000));
+        assertTrue(known.quarantined(PART));
+    }
+
+    @Test
+    public void fewerCrashesSufficeForARequestThanForAPart() {
+        CrashHistory three = crashes(3, 1_000, 500);
+        assertTrue(three.sufficient(Suspect.Kind.REQUEST));
+        assertFalse(three.sufficient(Suspect.Kind.PROMPT_PART));
+    }
+
+    @Test
+    public void answersToManyRequestsDoNotDisplaceThoseToParts() {
+        WholeAnswers answers = new WholeAnswers();
+        answers.record(Set.of(PART), 1);
+        for (int index = 0; index < 20_000; index++) {
+            answers.record(Set.of(Suspect.request(index)), index);
+        }
+        assertTrue(answers.lastBeganMillis(PART).isPresent());
+        assertTrue(answers.lastBeganMillis(Suspect.request(0)).isEmpty());
+    }
+
     @Test
     public void theNumberOfSuspectsIsBoundedAndOldOnesAreForgotten() {
         CrashHistories few = new CrashHistories(10);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
@@ -47,6 +47,7 @@
         this.digest = quarantine
                 .key()
                 .digest(request.authority().host(), request.uri(), admitted.workspace(), body.getBytes());
+        names.put(Suspect.request(digest), "this path, caller and body");
         admitted.callerHeaders()
                 .sharedParts()
                 .forEach(part -> names.put(Suspect.promptPart(part), "the prompt part " + part));
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulation.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulation.java
@@ -28,10 +28,6 @@
 
     static final long CONTACT_MILLIS = 3_000;
 
-    /** The suspect under which workers crash. */
-    static final Suspect GUILTY = Suspect.promptPart("guilty");
-
-    private static final int CRASHES = 5;
     private static final int MAX_LATENCY_MILLIS = 15;
     private static final int MAX_VIEW_LAG_MILLIS = 2_000;
     private static final long DOWN_MILLIS = 3_000;
@@ -41,13 +37,15 @@
     private static final long SOUND_FROM_MILLIS = 15_000;
 
     private final Random random;
+    private final Suspect guiltySuspect;
+    private final int crashesToTell;
     private final List<Node> nodes = new ArrayList<>();
     private final List<Worker> workers = new ArrayList<>();
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private long nowMillis;
     private long taskNumber;
     private int crashes;
-    private long fifthCrashMillis = Long.MAX_VALUE / 2;
+    private long toldMillis = Long.MAX_VALUE / 2;
     private int sentLate;
     private int soundLate;
     private int soundSentLate;
@@ -64,8 +62,8 @@
      * What the workers saw.
      *
      * @param crashes the number of crashes
-     * @param sentLate the requests with the guilty suspect that nodes in touch sent after the fifth crash and the time
-     *     to tell
+     * @param sentLate the requests with the guilty suspect that nodes in touch sent after these crashes and the time to
+     *     tell
      * @param soundLate the sound requests that came to nodes in touch once what crashes workers was known
      * @param soundSentLate those of them that were sent
      */
@@ -101,7 +99,7 @@
                 if (life != beganLife || !inFlight.contains(sent)) {
                     return;
                 }
-                if (sent.suspects.contains(GUILTY)) {
+                if (sent.suspects.contains(guiltySuspect)) {
                     crash();
                     return;
                 }
@@ -119,8 +117,8 @@
             life++;
             up = false;
             crashes++;
-            if (crashes == CRASHES) {
-                fifthCrashMillis = nowMillis;
+            if (crashes == crashesToTell) {
+                toldMillis = nowMillis;
             }
             List<Sent> lost = List.copyOf(inFlight);
             inFlight.clear();
@@ -239,7 +237,7 @@
 
         /** Sends a request to a worker unless the quarantine holds it. */
         void receive(Set<Suspect> suspects) {
-            boolean guilty = suspects.contains(GUILTY);
+            boolean guilty = suspects.contains(guiltySuspect);
             if (!guilty && inTouch() && nowMillis >= SOUND_FROM_MILLIS) {
                 soundLate++;
             }
@@ -261,8 +259,8 @@
             if (serving.isEmpty()) {
                 return;
             }
-            if (suspects.contains(GUILTY)) {
-                sentLate += inTouch() && nowMillis > fifthCrashMillis + CONTACT_MILLIS ? 1 : 0;
+            if (suspects.contains(guiltySuspect)) {
+                sentLate += inTouch() && nowMillis > toldMillis + CONTACT_MILLIS ? 1 : 0;
             } else if (inTouch() && nowMillis >= SOUND_FROM_MILLIS) {
                 soundSentLate++;
             }
@@ -270,7 +268,18 @@
         }
     }
 
-    CrashSimulation(int nodeCount, int workerCount, long seed) {
+    /**
+     * Creates nodes and workers.
+     *
+     * @param nodeCount the number of nodes
+     * @param workerCount the number of workers
+     * @param guilty the suspect under which workers crash
+     * @param crashesToTell the number of crashes after which all nodes have to know it
+     * @param seed the seed of all random numbers
+     */
+    CrashSimulation(int nodeCount, int workerCount, Suspect guilty, int crashesToTell, long seed) {
+        this.guiltySuspect = guilty;
+        this.crashesToTell = crashesToTell;
         this.random = new Random(seed);
         for (int index = 0; index < workerCount; index++) {
             workers.add(new Worker("w" + index));
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulationTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulationTest.java
@@ -17,6 +17,8 @@
     private static final int ALLOWED = 3;
     private static final int WORKERS = 12;
     private static final long RUN_MILLIS = 60_000;
+    private static final Suspect PART = Suspect.promptPart("guilty");
+    private static final Suspect REQUEST = Suspect.request(99);
 
     @DataProvider
     public Object[][] nodeCounts() {
@@ -28,17 +30,18 @@
         Set<Suspect> suspects = new HashSet<>();
         suspects.add(Suspect.promptPart("first" + random.nextInt(4)));
         suspects.add(Suspect.promptPart("second" + random.nextInt(80)));
+        suspects.add(Suspect.request(100 + random.nextInt(1_000_000)));
         return suspects;
     }
 
     private static Set<Suspect> guilty(Random random) {
         Set<Suspect> suspects = sound(random);
-        suspects.add(CrashSimulation.GUILTY);
+        suspects.add(PART);
         return suspects;
     }
 
     private static CrashSimulation simulation(int nodeCount, long seed, double guiltyPerSecond) {
-        CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, seed);
+        CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, PART, 5, seed);
         simulation.load(20, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
         simulation.load(guiltyPerSecond, 4_000, RUN_MILLIS, CrashSimulationTest::guilty);
         return simulation;
@@ -63,13 +66,30 @@
         }
     }
 
+    /** Each request has the same parts, which sound ones hold too. */
+    @Test(dataProvider = "rates")
+    public void aRequestThatComesAgainIsSentNoLongerAndItsPartsAre(int nodeCount, double perSecond) {
+        Set<Suspect> parts = Set.of(Suspect.promptPart("first1"), Suspect.promptPart("second7"));
+        for (int seed = 0; seed < SEEDS; seed++) {
+            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, REQUEST, 3, seed);
+            simulation.load(20, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
+            simulation.load(perSecond, 4_000, RUN_MILLIS, random -> {
+                Set<Suspect> suspects = new HashSet<>(parts);
+                suspects.add(REQUEST);
+                return suspects;
+            });
+            assertContained(simulation, nodeCount + " nodes, " + perSecond + "/s, seed " + seed);
+            parts.forEach(part -> assertEquals(simulation.holding(part), 0, part + " is held"));
+        }
+    }
+
     @Test(dataProvider = "nodeCounts")
     public void aPartThatAllRequestsWithTheGuiltyOneHoldIsSentWithoutIt(int nodeCount) {
         for (int seed = 0; seed < SEEDS; seed++) {
-            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, seed);
+            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, PART, 5, seed);
             Suspect companion = Suspect.promptPart("companion");
             simulation.load(20, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
-            simulation.load(1.5, 4_000, RUN_MILLIS, random -> Set.of(companion, CrashSimulation.GUILTY));
+            simulation.load(1.5, 4_000, RUN_MILLIS, random -> Set.of(companion, PART));
             simulation.load(2, 14_000, RUN_MILLIS, random -> Set.of(companion));
             assertContained(simulation, nodeCount + " nodes, seed " + seed);
             assertEquals(simulation.holding(companion), 0);
@@ -116,7 +136,7 @@
     @Test(dataProvider = "nodeCounts")
     public void workersThatCrashTogetherPutNoSoundRequestInQuarantine(int nodeCount) {
         for (int seed = 0; seed < SEEDS; seed++) {
-            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, seed);
+            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, PART, 5, seed);
             simulation.load(40, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
             for (int round = 0; round < 5; round++) {
                 simulation.crashWorkers(8, 10_000 + round * 8_000L);
