--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistory.java
@@ -29,10 +29,13 @@
     private static final int MAX_CALLERS = 8;
 
     /**
-     * How far apart crashes have to be to count each, in milliseconds, under a suspect that was sound once: what ends
-     * several workers at once has many requests in flight at them.
+     * How far apart crashes have to be to count each, in milliseconds: what ends several workers at once has many
+     * requests in flight at them.
      */
-    private static final long SEPARATE_CRASHES_MILLIS = 1_000;
+    private static final long SEPARATE_CRASHES_MILLIS = 300;
+
+    /** The same under a suspect that was sound once. */
+    private static final long SEPARATE_CRASHES_OF_SOUND_MILLIS = 1_000;
 
     /**
      * A whole answer to a request with the suspect.
@@ -169,10 +172,11 @@
      * @return true if they suffice
      */
     public boolean sufficient(Suspect.Kind kind) {
+        long separateMillis = answeredBefore ? SEPARATE_CRASHES_OF_SOUND_MILLIS : SEPARATE_CRASHES_MILLIS;
         int counted = 0;
         long lastMillis = 0;
         for (Crash crash : evidence()) {
-            if (counted == 0 || !answeredBefore || crash.atMillis() - lastMillis >= SEPARATE_CRASHES_MILLIS) {
+            if (counted == 0 || crash.atMillis() - lastMillis >= separateMillis) {
                 counted++;
                 lastMillis = crash.atMillis();
             }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
@@ -43,8 +43,8 @@
 
         @Test
         public void enoughCrashesSufficeAndFewerDoNot() {
-            assertTrue(sufficient(crashes(ENOUGH, 1_000, 10)));
-            assertFalse(sufficient(crashes(ENOUGH - 1, 1_000, 10)));
+            assertTrue(sufficient(crashes(ENOUGH, 1_000, 300)));
+            assertFalse(sufficient(crashes(ENOUGH - 1, 1_000, 300)));
         }
 
         @Test
@@ -69,10 +69,14 @@
         }
 
         @Test
-        public void workersThatCrashTogetherCountOnceIfTheSuspectWasSoundBefore() {
-            CrashHistory together = crashes(3 * ENOUGH, 1_000, 20);
-            assertTrue(sufficient(together));
-            assertFalse(sufficient(together.withAnswer(answer(500))));
+        public void workersThatCrashTogetherCountOnce() {
+            assertFalse(sufficient(crashes(3 * ENOUGH, 1_000, 20)));
+        }
+
+        @Test
+        public void crashesUnderASuspectThatWasSoundBeforeHaveToBeFartherApart() {
+            assertFalse(sufficient(crashes(ENOUGH, 1_000, 500).withAnswer(answer(500))));
+            assertTrue(sufficient(crashes(ENOUGH, 1_000, 1_000).withAnswer(answer(500))));
         }
 
         @Test
@@ -89,9 +93,9 @@
     /** Tests of the requests that are let through. */
     public static class Trials {
 
-        private static final long LAST_CRASH_MILLIS = 1_000 + (ENOUGH - 1) * 100;
+        private static final long LAST_CRASH_MILLIS = 1_000 + (ENOUGH - 1) * 300;
 
-        private final CrashHistory history = crashes(ENOUGH, 1_000, 100);
+        private final CrashHistory history = crashes(ENOUGH, 1_000, 300);
 
         @Test
         public void aCallerWithoutPartInTheCrashesIsLetThroughOnce() {
