Let a caller through whose parts another one has named, with several parts and from any time

Found by a test that was written for it: a caller whose requests crash workers can name the parts of another one. Requests with up to eight suspects are let through now, and an ambiguous cause is tried from 3 s after the last crash only. A request that was let through is not sent again, and the nodes that count are found without sorting all nodes.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistory.java
@@ -216,8 +216,8 @@
     }
 
     /**
-     * Returns whether a request may be let through to see whether a worker answers it. The first one is let through at
-     * once if another suspect explains the crashes as well, or if the caller had no part in them.
+     * Returns whether a request may be let through to see whether a worker answers it. The first one is let through
+     * early if another suspect explains the crashes as well, or if the caller had no part in them.
      *
      * @param caller a hash of the caller
      * @param ambiguous whether another suspect explains the crashes as well
@@ -225,7 +225,7 @@
      * @return true if one may be let through
      */
     public boolean mayTry(long caller, boolean ambiguous, long nowMillis) {
-        return TrialSchedule.due(this, trials(), ambiguous || !callers.contains(caller), nowMillis);
+        return TrialSchedule.due(this, trials(), ambiguous, !callers.contains(caller), nowMillis);
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Quarantine.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Quarantine.java
@@ -23,7 +23,7 @@
         }
 
         @Override
-        public CompletionStage<Boolean> tryOnce(Suspect suspect, long caller) {
+        public CompletionStage<Boolean> tryOnce(Set<Suspect> suspects, long caller) {
             return CompletableFuture.completedFuture(false);
         }
 
@@ -57,11 +57,11 @@
      * Asks for a request to be let through, to see whether a worker answers it. All nodes together let one through at a
      * time.
      *
-     * @param suspect the suspect of the request that is in quarantine
+     * @param suspects the suspects of the request that are in quarantine
      * @param caller a hash of its caller
      * @return whether it may be sent once; never fails
      */
-    CompletionStage<Boolean> tryOnce(Suspect suspect, long caller);
+    CompletionStage<Boolean> tryOnce(Set<Suspect> suspects, long caller);
 
     /**
      * Records that a worker crashed while it had a request.
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/TrialSchedule.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/TrialSchedule.java
@@ -14,13 +14,17 @@
 
     private static final int MAX_GROWTHS = 3;
 
+    /** How long after a crash all nodes know what else explains it, in milliseconds. */
+    private static final long QUIET_MILLIS = 3_000;
+
     private TrialSchedule() {}
 
-    static boolean due(CrashHistory history, int trials, boolean early, long nowMillis) {
+    static boolean due(CrashHistory history, int trials, boolean ambiguous, boolean newCaller, long nowMillis) {
         if (trials > 0 && nowMillis - history.trial().atMillis() < RUNNING_MILLIS) {
             return false;
         }
-        if (trials == 0 && early) {
+        boolean quiet = nowMillis - history.lastCrashMillis() >= QUIET_MILLIS;
+        if (trials == 0 && (newCaller || ambiguous && quiet)) {
             return true;
         }
         long lastMillis = Math.max(history.lastCrashMillis(), history.trial().atMillis());
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
@@ -172,6 +172,16 @@
         assertTrue(answers.lastBeganMillis(Suspect.request(0)).isEmpty());
     }
 
+    @Test
+    public void manySuspectsOfOneCrashAreNotCompared() {
+        CrashHistories many = new CrashHistories(1_000);
+        for (int index = 0; index < 1_000; index++) {
+            many.merge(Suspect.promptPart("m" + index), crashes(ENOUGH + index % 2, 1_000, 500));
+        }
+        assertTrue(many.quarantined(Suspect.promptPart("m0")));
+        assertTrue(many.ambiguous(Suspect.promptPart("m1")));
+    }
+
     @Test
     public void theNumberOfSuspectsIsBoundedAndOldOnesAreForgotten() {
         CrashHistories few = new CrashHistories(10);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -362,7 +362,7 @@
         boolean attemptsLeft = runs < admitted.route().maxAttempts() && remainingMillis() > 0;
         boolean mayGoOn =
                 remainingKind().retryable() && dispatcher.mayGoOnElsewhere(service(), softwareVersion, worker);
-        if (!attemptsLeft || !mayGoOn || !gate.passes() || !tryTakeRetry()) {
+        if (!attemptsLeft || !mayGoOn || !gate.mayRetry() || !tryTakeRetry()) {
             // if no retry is possible, keep waiting: a late response is better than none
             return;
         }
@@ -569,7 +569,7 @@
         }
         AttemptPolicy.History history = new AttemptPolicy.History(
                 remainingKind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, remainingMillis());
-        NextStep step = AttemptPolicy.next(result, history, () -> gate.passes() && tryTakeRetry());
+        NextStep step = AttemptPolicy.next(result, history, () -> gate.mayRetry() && tryTakeRetry());
         switch (step) {
             case RETRY -> {
                 dropAnswer();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
@@ -11,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
 
@@ -69,20 +68,21 @@
         return inForce().isEmpty();
     }
 
+    /** Returns whether the request may be sent again: not one that was let through, whose answer is awaited. */
+    boolean mayRetry() {
+        return tried.isEmpty() && passes();
+    }
+
     /**
-     * Asks for a request that has not been sent to be let through, if a single suspect holds it.
+     * Asks for a request that has not been sent to be let through.
      *
      * @return whether it may be sent once
      */
     CompletionStage<Boolean> tryOnce() {
         Set<Suspect> found = inForce();
-        if (found.size() != 1) {
-            return CompletableFuture.completedFuture(false);
-        }
-        Suspect only = found.iterator().next();
-        return quarantine.tryOnce(only, caller).thenApply(allowed -> {
+        return quarantine.tryOnce(found, caller).thenApply(allowed -> {
             if (allowed) {
-                tried.add(only);
+                tried.addAll(found);
             }
             return allowed;
         });
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -53,7 +54,7 @@
     static final int COUNTING_NODES = 3;
 
     /** How much later each of the counting nodes decides than the one before, in milliseconds. */
-    private static final long DECISION_STAGGER_MILLIS = 150;
+    private static final long DECISION_STAGGER_MILLIS = 300;
 
     private static final long TELL_TIMEOUT_MILLIS = 300;
     private static final long ASK_TIMEOUT_MILLIS = 250;
@@ -77,7 +78,10 @@
     private static final int MAX_COUNTED = 10_000;
     private static final int MAX_QUARANTINED = 1_000;
 
-    /** The number of histories in one message. */
+    /** The number of suspects in quarantine with which a request may still be let through. */
+    private static final int MAX_TRIED_TOGETHER = 8;
+
+    /** The number of histories in one message, and of suspects that are reported at once. */
     private static final int MAX_ENTRIES = 200;
 
     private final Environment environment;
@@ -187,7 +191,7 @@
                         .encode());
         register(MessageTypes.QUARANTINE_TRY, payload -> {
             Try asked = Try.decode(payload);
-            return new Decision(allow(asked.suspect(), asked.caller())).encode();
+            return new Decision(allow(asked)).encode();
         });
     }
 
@@ -247,15 +251,33 @@
         return found;
     }
 
-    /** Returns the nodes that count the crashes under a suspect, and then the others, those that are silent last. */
-    private List<String> ranked(Suspect suspect) {
+    /** Returns the nodes that count the crashes under a suspect, by rank; those that are silent are passed over. */
+    private List<String> countingNodes(Suspect suspect, boolean withOwn) {
         List<String> all = new ArrayList<>(environment.otherNodes().get());
-        all.add(environment.ownId());
-        List<String> ranked = new ArrayList<>(Rendezvous.sortByRank(suspect.role(), all, id -> id));
-        List<String> silent = ranked.stream().filter(this::isSilent).toList();
-        ranked.removeAll(silent);
-        ranked.addAll(silent);
-        return ranked;
+        if (withOwn) {
+            all.add(environment.ownId());
+        }
+        List<String> responding = all.stream().filter(node -> !isSilent(node)).toList();
+        List<String> candidates = responding.size() < COUNTING_NODES ? all : responding;
+        long role = Rendezvous.hash(suspect.role());
+        List<String> highest = new ArrayList<>();
+        for (String node : candidates) {
+            int index = highest.size();
+            while (index > 0 && rank(role, node) > rank(role, highest.get(index - 1))) {
+                index--;
+            }
+            if (index < COUNTING_NODES) {
+                highest.add(index, node);
+            }
+            if (highest.size() > COUNTING_NODES) {
+                highest.remove(COUNTING_NODES);
+            }
+        }
+        return highest;
+    }
+
+    private static long rank(long role, String node) {
+        return Rendezvous.mix(role, Rendezvous.hash(node));
     }
 
     private boolean isSilent(String node) {
@@ -292,7 +314,7 @@
         long nowMillis = nowMillis();
         List<Suspect> due = new ArrayList<>();
         reports.forEach((suspect, report) -> {
-            if (report.atMillis <= nowMillis) {
+            if (report.atMillis <= nowMillis && due.size() < MAX_ENTRIES) {
                 report.atMillis = nowMillis + report.intervalMillis;
                 report.intervalMillis = Math.min(3 * report.intervalMillis / 2, MAX_REPORT_INTERVAL_MILLIS);
                 due.add(suspect);
@@ -305,9 +327,7 @@
             Collection<Suspect> suspects, boolean withOwn, BiConsumer<String, List<Suspect>> use) {
         Map<String, List<Suspect>> suspectsByNode = new HashMap<>();
         for (Suspect suspect : suspects) {
-            ranked(suspect).stream()
-                    .filter(node -> withOwn || !node.equals(environment.ownId()))
-                    .limit(COUNTING_NODES)
+            countingNodes(suspect, withOwn)
                     .forEach(node -> suspectsByNode
                             .computeIfAbsent(node, id -> new ArrayList<>())
                             .add(suspect));
@@ -340,8 +360,8 @@
         boolean changed = counted.merge(suspect, entry.history());
         if (quarantine.get(suspect).crashes().isEmpty()) {
             if (counted.get(suspect).sufficient(suspect.kind()) && !undecided.containsKey(suspect)) {
-                int rank = ranked(suspect).indexOf(environment.ownId());
-                long delayMillis = 1 + DECISION_STAGGER_MILLIS * Math.min(rank, COUNTING_NODES);
+                int rank = countingNodes(suspect, true).indexOf(environment.ownId());
+                long delayMillis = 1 + DECISION_STAGGER_MILLIS * (rank < 0 ? COUNTING_NODES : rank);
                 undecided.put(suspect, nowMillis() + delayMillis);
                 environment.timers().schedule(delayMillis, this::decide);
             }
@@ -474,32 +494,54 @@
     }
 
     @Override
-    public CompletionStage<Boolean> tryOnce(Suspect suspect, long caller) {
+    public CompletionStage<Boolean> tryOnce(Set<Suspect> suspects, long caller) {
         CompletableFuture<Boolean> decision = new CompletableFuture<>();
-        askToTry(ranked(suspect), 0, new Try(suspect, caller), decision);
+        if (suspects.isEmpty() || suspects.size() > MAX_TRIED_TOGETHER) {
+            decision.complete(false);
+            return decision;
+        }
+        List<Suspect> mostCrashesFirst = new ArrayList<>(suspects);
+        mostCrashesFirst.sort(Comparator.comparingInt(
+                        (Suspect suspect) -> -quarantine.get(suspect).evidence().size())
+                .thenComparingLong(Suspect::digest));
+        askToTry(mostCrashesFirst, caller, suspects.size() == 1, decision);
         return decision;
     }
 
-    private void askToTry(List<String> nodes, int next, Try asked, CompletableFuture<Boolean> decision) {
-        if (next == Math.min(COUNTING_NODES, nodes.size())) {
-            decision.complete(false);
+    /** Asks for each suspect in turn until one is not let through. */
+    private void askToTry(List<Suspect> suspects, long caller, boolean alone, CompletableFuture<Boolean> decision) {
+        Suspect first = suspects.get(0);
+        askToTry(countingNodes(first, true), 0, new Try(first, caller, alone), allowed -> {
+            if (allowed && suspects.size() > 1) {
+                askToTry(suspects.subList(1, suspects.size()), caller, alone, decision);
+            } else {
+                decision.complete(allowed);
+            }
+        });
+    }
+
+    private void askToTry(List<String> nodes, int next, Try asked, Consumer<Boolean> onDecision) {
+        if (next == nodes.size()) {
+            onDecision.accept(false);
         } else if (nodes.get(next).equals(environment.ownId())) {
-            decision.complete(allow(asked.suspect(), asked.caller()));
+            onDecision.accept(allow(asked));
         } else {
             request(nodes.get(next), MessageTypes.QUARANTINE_TRY, asked.encode(), TRY_TIMEOUT_MILLIS, reply -> {
                 if (reply instanceof PeerReply.Answered answered) {
-                    decision.complete(Decision.decode(answered.payload()).allowed());
+                    onDecision.accept(Decision.decode(answered.payload()).allowed());
                 } else {
-                    askToTry(nodes, next + 1, asked, decision);
+                    askToTry(nodes, next + 1, asked, onDecision);
                 }
             });
         }
     }
 
-    private boolean allow(Suspect suspect, long caller) {
+    private boolean allow(Try asked) {
+        Suspect suspect = asked.suspect();
         CrashHistory history = quarantine.get(suspect);
         long nowMillis = nowMillis();
-        boolean allowed = synced && history.mayTry(caller, quarantine.ambiguous(suspect), nowMillis);
+        boolean ambiguous = asked.alone() && quarantine.ambiguous(suspect);
+        boolean allowed = synced && history.mayTry(asked.caller(), ambiguous, nowMillis);
         if (allowed && change(suspect, history.withTrial(newId(), nowMillis))) {
             tellAll(List.of(suspect));
         }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulation.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulation.java
@@ -73,8 +73,10 @@
         private final Node node;
         private final long nodeLife;
         private final Set<Suspect> suspects;
+        private final long caller;
 
-        Sent(Node node, Set<Suspect> suspects) {
+        Sent(Node node, Set<Suspect> suspects, long caller) {
+            this.caller = caller;
             this.node = node;
             this.nodeLife = node.life;
             this.suspects = suspects;
@@ -125,7 +127,7 @@
             for (Sent sent : lost) {
                 after(1 + random.nextInt(20), () -> {
                     if (sent.node.holds(sent)) {
-                        sent.node.exchange.crashed(sent.suspects, 1, ended);
+                        sent.node.exchange.crashed(sent.suspects, sent.caller, ended);
                     }
                 });
             }
@@ -236,7 +238,7 @@
         }
 
         /** Sends a request to a worker unless the quarantine holds it. */
-        void receive(Set<Suspect> suspects) {
+        void receive(Set<Suspect> suspects, long caller) {
             boolean guilty = suspects.contains(guiltySuspect);
             if (!guilty && inTouch() && nowMillis >= SOUND_FROM_MILLIS) {
                 soundLate++;
@@ -244,17 +246,17 @@
             Set<Suspect> held = exchange.inForce(suspects);
             long receivedIn = life;
             if (held.isEmpty()) {
-                sendToWorker(suspects);
-            } else if (held.size() == 1) {
-                exchange.tryOnce(held.iterator().next(), 1).thenAccept(allowed -> {
+                sendToWorker(suspects, caller);
+            } else {
+                exchange.tryOnce(held, caller).thenAccept(allowed -> {
                     if (allowed && up && life == receivedIn) {
-                        sendToWorker(suspects);
+                        sendToWorker(suspects, caller);
                     }
                 });
             }
         }
 
-        private void sendToWorker(Set<Suspect> suspects) {
+        private void sendToWorker(Set<Suspect> suspects, long caller) {
             List<Worker> serving = workers.stream().filter(worker -> worker.up).toList();
             if (serving.isEmpty()) {
                 return;
@@ -264,7 +266,7 @@
             } else if (inTouch() && nowMillis >= SOUND_FROM_MILLIS) {
                 soundSentLate++;
             }
-            serving.get(random.nextInt(serving.size())).take(new Sent(this, suspects));
+            serving.get(random.nextInt(serving.size())).take(new Sent(this, suspects, caller));
         }
     }
 
@@ -350,12 +352,25 @@
      * @param draw draws the suspects of a request
      */
     void load(double perSecond, long fromMillis, long untilMillis, Function<Random, Set<Suspect>> draw) {
+        load(perSecond, fromMillis, untilMillis, 1, draw);
+    }
+
+    /**
+     * Has requests of one caller come to random nodes for some time.
+     *
+     * @param perSecond the requests a second
+     * @param fromMillis the time of the first
+     * @param untilMillis the time of the last
+     * @param caller the caller
+     * @param draw draws the suspects of a request
+     */
+    void load(double perSecond, long fromMillis, long untilMillis, long caller, Function<Random, Set<Suspect>> draw) {
         int count = (int) (perSecond * (untilMillis - fromMillis) / 1_000);
         for (int number = 0; number < count; number++) {
             after(fromMillis + (long) (number * 1_000 / perSecond), () -> {
                 List<Node> serving = nodes.stream().filter(node -> node.up).toList();
                 if (!serving.isEmpty()) {
-                    serving.get(random.nextInt(serving.size())).receive(draw.apply(random));
+                    serving.get(random.nextInt(serving.size())).receive(draw.apply(random), caller);
                 }
             });
         }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulationTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulationTest.java
@@ -13,7 +13,7 @@
 /** Tests how many requests that crash workers are sent, and what becomes of sound ones, in virtual time. */
 public class CrashSimulationTest {
 
-    private static final int SEEDS = 6;
+    private static final int SEEDS = 12;
     private static final int ALLOWED = 3;
     private static final int WORKERS = 12;
     private static final long RUN_MILLIS = 60_000;
@@ -96,6 +96,24 @@
         }
     }
 
+    /** Each request that crashes a worker names the parts of the other caller too. */
+    @Test(dataProvider = "nodeCounts")
+    public void aCallerThatNamesThePartsOfAnotherDoesNotKeepThatOneOut(int nodeCount) {
+        Set<Suspect> victim = Set.of(Suspect.promptPart("victim1"), Suspect.promptPart("victim2"));
+        for (int seed = 0; seed < SEEDS; seed++) {
+            CrashSimulation simulation = new CrashSimulation(nodeCount, WORKERS, PART, 5, seed);
+            simulation.load(20, 2_500, RUN_MILLIS, CrashSimulationTest::sound);
+            simulation.load(1.5, 4_000, 12_000, 2, random -> {
+                Set<Suspect> suspects = new HashSet<>(victim);
+                suspects.add(PART);
+                return suspects;
+            });
+            simulation.load(2, 14_000, RUN_MILLIS, random -> victim);
+            assertContained(simulation, nodeCount + " nodes, seed " + seed);
+            victim.forEach(part -> assertEquals(simulation.holding(part), 0, part + " is held"));
+        }
+    }
+
     @Test(dataProvider = "nodeCounts")
     public void nodesThatAreReplacedOneByOneKeepTheQuarantine(int nodeCount) {
         if (nodeCount == 1) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/QuarantineMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/QuarantineMessages.java
@@ -273,8 +273,9 @@
      *
      * @param suspect the suspect of the request that is in quarantine
      * @param caller a hash of its caller
+     * @param alone whether no other suspect of the request is in quarantine
      */
-    public record Try(Suspect suspect, long caller) {
+    public record Try(Suspect suspect, long caller, boolean alone) {
 
         /**
          * Encodes the message.
@@ -284,7 +285,7 @@
         public byte[] encode() {
             MessageWriter writer = new MessageWriter(VERSION);
             write(writer, suspect);
-            return writer.number(caller).bytes();
+            return writer.number(caller).flag(alone).bytes();
         }
 
         /**
@@ -296,7 +297,7 @@
          */
         public static Try decode(byte[] payload) {
             MessageReader reader = new MessageReader(payload, VERSION);
-            return new Try(readSuspect(reader), reader.number());
+            return new Try(readSuspect(reader), reader.number(), reader.flag());
         }
     }
 
