Take no retry from the budget again after a send that reached no worker

The retry that was taken for a send which reaches no worker is unused, so the next one needs none; such sends end after four. The test fails without the change: the second decision was taken from the budget.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/AttemptPolicy.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/AttemptPolicy.java
@@ -1,7 +1,5 @@
 package io.lagoonseam.core.forward;
 
-import io.lagoonseam.core.verdict.Verdict;
-
 /**
  * Decides the next step after an attempt. A request that may have run is retried only if its work may run more than
  * once. Every retry after an attempt that reached a worker is taken from the retry budget.
@@ -76,7 +74,8 @@
         if (!allowed) {
             return finalStep;
         }
-        if (result.verdict() instanceof Verdict.NotRun && history.runs() + history.rejections() == 0) {
+        if (result instanceof AttemptResult.NotRun notRun && !notRun.arrived()) {
+            // a retry that was taken from the budget for this attempt has not been used
             return history.connectFailures() < MAX_CONNECT_ATTEMPTS ? NextStep.RETRY : finalStep;
         }
         // rejections don't count against the route's maxAttempts, but each retry is taken from the retry budget
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/AttemptPolicyTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/AttemptPolicyTest.java
@@ -87,6 +87,15 @@
         assertEquals(AttemptPolicy.next(FULL, rejectedThreeTimes, () -> true), NextStep.REFUSE);
     }
 
+    /** Otherwise a crash of several workers spends the budget on sends that reach none. */
+    @Test
+    public void connectFailuresOfAStreamThatGoesOnDoNotUseTheBudget() {
+        AttemptPolicy.History begun = new AttemptPolicy.History(WorkKind.RESUMABLE_STREAM, 2, 1, 0, 1, 1_000);
+        assertEquals(AttemptPolicy.next(NOT_CONNECTED, begun, () -> false), NextStep.RETRY);
+        AttemptPolicy.History often = new AttemptPolicy.History(WorkKind.RESUMABLE_STREAM, 2, 1, 0, 4, 1_000);
+        assertEquals(AttemptPolicy.next(NOT_CONNECTED, often, () -> true), NextStep.FAIL);
+    }
+
     @Test
     public void connectFailuresDoNotUseTheBudget() {
         assertEquals(
