--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakLog.java
@@ -17,6 +17,7 @@
     private final Queue<Probe> probes = new ConcurrentLinkedQueue<>();
     private final Queue<StoreOutage> storeOutages = new ConcurrentLinkedQueue<>();
     private final Queue<Drain> drains = new ConcurrentLinkedQueue<>();
+    private final Queue<CrashTry> crashTries = new ConcurrentLinkedQueue<>();
 
     /** What became of a call. */
     enum Outcome {
@@ -142,6 +143,16 @@
      */
     record StoreOutage(long fromMillis, long toMillis) {}
 
+    /**
+     * A request that crashes engines.
+     *
+     * @param kind what it has in common with others
+     * @param id the id of the request
+     * @param node the index of the node
+     * @param sentMillis when it was sent
+     */
+    record CrashTry(SoakCrashCaller.CrashKind kind, String id, int node, long sentMillis) {}
+
     static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -178,6 +189,14 @@
         drains.add(drain);
     }
 
+    void add(CrashTry crashTry) {
+        crashTries.add(crashTry);
+    }
+
+    List<CrashTry> crashTries() {
+        return new ArrayList<>(crashTries);
+    }
+
     List<Drain> drains() {
         return new ArrayList<>(drains);
     }
