Count crashes of repeats that were sent after the crash before each by itself

A crash counts by itself now if its request was sent after the crash before, which what ends many workers at once never shows.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Crash.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Crash.java
@@ -8,8 +8,9 @@
  *
  * @param worker a hash of the lifetime of the worker, as far as its record tells
  * @param atMillis the time, on the monotonic clock of this node, in milliseconds
+ * @param sentMillis when the last of the requests was sent that the worker had, on the same clock
  */
-public record Crash(long worker, long atMillis) {
+public record Crash(long worker, long atMillis, long sentMillis) {
 
     /**
      * How far apart the reports of several nodes about one crash may be, in milliseconds. A worker whose record does
@@ -22,14 +23,26 @@
      *
      * @param worker the lifetime that has ended
      * @param atMillis the time, on the monotonic clock, in milliseconds
+     * @param sentMillis when the request was sent that the worker had
      * @return the crash
      */
-    public static Crash of(WorkerIncarnation worker, long atMillis) {
+    public static Crash of(WorkerIncarnation worker, long atMillis, long sentMillis) {
         return new Crash(
                 Rendezvous.mix(
                         Rendezvous.hash(worker.service()),
                         Rendezvous.mix(Rendezvous.hash(worker.id()), worker.startMillis())),
-                atMillis);
+                atMillis,
+                sentMillis);
+    }
+
+    /**
+     * Returns what two nodes know of the same crash.
+     *
+     * @param other the other report
+     * @return the crash with the earlier time and the request that was sent last
+     */
+    public Crash merge(Crash other) {
+        return new Crash(worker, Math.min(atMillis, other.atMillis), Math.max(sentMillis, other.sentMillis));
     }
 
     /**
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/CrashHistory.java
@@ -126,8 +126,8 @@
             int known = indexOf(merged, crash);
             if (known < 0) {
                 merged.add(crash);
-            } else if (crash.atMillis() < merged.get(known).atMillis()) {
-                merged.set(known, crash);
+            } else {
+                merged.set(known, crash.merge(merged.get(known)));
             }
         }
         merged.sort(Comparator.comparingLong(Crash::atMillis));
@@ -176,7 +176,8 @@
         int counted = 0;
         long lastMillis = 0;
         for (Crash crash : evidence()) {
-            if (counted == 0 || crash.atMillis() - lastMillis >= separateMillis) {
+            boolean sentAfter = !answeredBefore && crash.sentMillis() > lastMillis;
+            if (counted == 0 || sentAfter || crash.atMillis() - lastMillis >= separateMillis) {
                 counted++;
                 lastMillis = crash.atMillis();
             }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Quarantine.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/Quarantine.java
@@ -28,7 +28,7 @@
         }
 
         @Override
-        public void crashed(Set<Suspect> suspects, long caller, WorkerIncarnation worker) {
+        public void crashed(Set<Suspect> suspects, long caller, WorkerIncarnation worker, long sentMillis) {
             // nothing is remembered
         }
 
@@ -69,8 +69,9 @@
      * @param suspects the suspects of the request
      * @param caller a hash of its caller
      * @param worker the lifetime that has ended
+     * @param sentMillis when the request was sent to it, on the monotonic clock, in milliseconds
      */
-    void crashed(Set<Suspect> suspects, long caller, WorkerIncarnation worker);
+    void crashed(Set<Suspect> suspects, long caller, WorkerIncarnation worker, long sentMillis);
 
     /**
      * Records a whole answer with a success.
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/CrashHistoriesTest.java
@@ -19,7 +19,7 @@
     private final CrashHistories histories = new CrashHistories(100);
 
     private static CrashHistory crash(long worker, long atMillis) {
-        return CrashHistory.EMPTY.withCrash(new Crash(worker, atMillis), CALLER);
+        return CrashHistory.EMPTY.withCrash(new Crash(worker, atMillis, 0), CALLER);
     }
 
     private static CrashHistory crashes(int count, long firstMillis, long gapMillis) {
@@ -73,6 +73,16 @@
             assertFalse(sufficient(crashes(3 * ENOUGH, 1_000, 20)));
         }
 
+        @Test
+        public void workersThatCrashOneAfterTheOtherUnderRepeatsCountEach() {
+            CrashHistory history = CrashHistory.EMPTY;
+            for (int index = 0; index < ENOUGH; index++) {
+                long atMillis = 1_000 + 20 * index;
+                history = history.withCrash(new Crash(index, atMillis, atMillis - 10), CALLER);
+            }
+            assertTrue(sufficient(history));
+        }
+
         @Test
         public void crashesUnderASuspectThatWasSoundBeforeHaveToBeFartherApart() {
             assertFalse(sufficient(crashes(ENOUGH, 1_000, 500).withAnswer(answer(500))));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
@@ -140,9 +140,10 @@
 
     private void check(Runnable onSound) {
         UpstreamRecord checked = worker;
+        long checkedSentMillis = sentMillis;
         crashCheck.crashed(checked).onSuccess(crashed -> {
             if (crashed) {
-                quarantine.crashed(names.keySet(), caller, checked.incarnation());
+                quarantine.crashed(names.keySet(), caller, checked.incarnation(), checkedSentMillis);
             } else {
                 onSound.run();
             }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
@@ -299,9 +299,9 @@
     }
 
     @Override
-    public void crashed(Set<Suspect> suspects, long caller, WorkerIncarnation worker) {
+    public void crashed(Set<Suspect> suspects, long caller, WorkerIncarnation worker, long sentMillis) {
         long nowMillis = nowMillis();
-        Crash crash = Crash.of(worker, nowMillis);
+        Crash crash = Crash.of(worker, nowMillis, sentMillis);
         for (Suspect suspect : suspects) {
             own.merge(suspect, CrashHistory.EMPTY.withCrash(crash, caller));
             reports.put(suspect, new Report(nowMillis));
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulation.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/CrashSimulation.java
@@ -69,14 +69,16 @@
      */
     record Result(int crashes, int sentLate, int soundLate, int soundSentLate) {}
 
-    private static final class Sent {
+    private final class Sent {
         private final Node node;
         private final long nodeLife;
         private final Set<Suspect> suspects;
         private final long caller;
+        private final long sentMillis;
 
         Sent(Node node, Set<Suspect> suspects, long caller) {
             this.caller = caller;
+            this.sentMillis = nowMillis;
             this.node = node;
             this.nodeLife = node.life;
             this.suspects = suspects;
@@ -127,7 +129,7 @@
             for (Sent sent : lost) {
                 after(1 + random.nextInt(20), () -> {
                     if (sent.node.holds(sent)) {
-                        sent.node.exchange.crashed(sent.suspects, sent.caller, ended);
+                        sent.node.exchange.crashed(sent.suspects, sent.caller, ended, sent.sentMillis);
                     }
                 });
             }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/QuarantineMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/QuarantineMessages.java
@@ -49,7 +49,9 @@
         CrashHistory history = entry.history;
         writer.items(
                         history.crashes(),
-                        (to, crash) -> to.number(crash.worker()).number(age(crash.atMillis(), nowMillis)))
+                        (to, crash) -> to.number(crash.worker())
+                                .number(age(crash.atMillis(), nowMillis))
+                                .number(age(crash.sentMillis(), nowMillis)))
                 .items(List.copyOf(history.callers()), MessageWriter::number)
                 .number(history.answer().id())
                 .number(age(history.answer().beganMillis(), nowMillis))
@@ -63,7 +65,8 @@
         return new Entry(
                 readSuspect(reader),
                 new CrashHistory(
-                        reader.items(from -> new Crash(from.number(), time(from.number(), nowMillis))),
+                        reader.items(from -> new Crash(
+                                from.number(), time(from.number(), nowMillis), time(from.number(), nowMillis))),
                         new HashSet<>(reader.items(MessageReader::number)),
                         new CrashHistory.Answer(reader.number(), time(reader.number(), nowMillis)),
                         reader.flag(),
