--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakOracle.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakOracle.java
@@ -35,6 +35,9 @@
      */
     private static final long CRASH_NOTICED_MILLIS = 1_500;
 
+    /** The time that a worker takes to close its connections when it crashes, in milliseconds. */
+    private static final long CRASH_LASTS_MILLIS = 200;
+
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final Pattern TOKEN = Pattern.compile("data: token (\\d+) of (\\S+)\n");
 
@@ -76,7 +79,7 @@
     private boolean lostInCrash(Call call) {
         return crashesByWorker.entrySet().stream()
                 .anyMatch(crashes -> crashes.getValue().stream()
-                                .anyMatch(crash -> crash.atMillis() >= call.sentMillis()
+                                .anyMatch(crash -> crash.atMillis() >= call.sentMillis() - CRASH_LASTS_MILLIS
                                         && crash.atMillis() <= call.endedMillis()
                                         && crash.atMillis() > call.endedMillis() - CRASH_NOTICED_MILLIS)
                         && arrivalsByWorker.get(crashes.getKey()).stream()
