--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakCrashCaller.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakCrashCaller.java
@@ -80,8 +80,7 @@
                 kind == CrashKind.PART ? shared + ":100," + CRASH_PART + ":50,own" + number + ":100" : "a1:100,own:50";
         String path = kind == CrashKind.PART ? "x" + number : CRASH_TEXT;
         Map<String, String> headers = new HashMap<>(PlatformFixtures.callerHeaders(key, id));
-        headers.put("X-Token-Counts", "250," + OUTPUT_TOKENS);
-        headers.put("X-Prompt-Prefix", prompt);
+        headers.putAll(PlatformFixtures.partHeaders(prompt, OUTPUT_TOKENS));
         long sentMillis = SoakLog.nowMillis();
         try (KeptConnection connection = new KeptConnection(NodeProcess.HOST, callerPorts.get(node))) {
             if (connection.connect()) {
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformFixtures.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/operator/PlatformFixtures.java
@@ -219,4 +219,15 @@
     public static Map<String, String> promptHeaders(String shared, String own, int answerTokens) {
         return Map.of("X-Token-Counts", "300," + answerTokens, "X-Prompt-Prefix", shared + ":200," + own + ":100");
     }
+
+    /**
+     * Creates the headers that describe a prompt of any parts.
+     *
+     * @param parts the ids of its parts and their sizes in tokens, as {@code ID:TOKENS}, separated by commas
+     * @param answerTokens the maximum length of the answer, in tokens
+     * @return the header values by header name
+     */
+    public static Map<String, String> partHeaders(String parts, int answerTokens) {
+        return Map.of("X-Token-Counts", "300," + answerTokens, "X-Prompt-Prefix", parts);
+    }
 }
