Separate where an attempt goes from the request that makes it

ForwardedRequest kept what a worker has to hear of an attempt (its load, its prompt, its place, its outcomes) among the request's own state. WorkerTarget has it now, behind the interface AttemptTarget.

--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
@@ -0,0 +1,57 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.forward.OutlierDetector;
+import java.util.Optional;
+
+/** Where one attempt of a request goes, and what has to hear of its progress. */
+interface AttemptTarget {
+
+    /** Returns the id under which the log names the target. */
+    String name();
+
+    /** Returns the connections to the target, empty if it has left. */
+    Optional<WorkerConnections> connections();
+
+    /** The attempt is about to begin. */
+    void starting();
+
+    /** Returns whether the request may still be sent there. */
+    boolean maySend();
+
+    /** Returns the time that the first events are expected to take, in milliseconds. */
+    double expectedMillis();
+
+    /** The header section of an answer has been received. */
+    void onHeaders(UpstreamResponseHeaders received, long sentMillis);
+
+    /** Returns whether the target has not shown yet that it has read the prompt. */
+    boolean readsPrompt();
+
+    /**
+     * The first event of the answer, or of the rest of it, has been received.
+     *
+     * @param afterMillis the time since the request was sent, in milliseconds
+     */
+    void onFirstEvent(long afterMillis);
+
+    /** Returns the software version that sends the answer, empty if it is not known. */
+    String softwareVersion();
+
+    /**
+     * Returns whether the rest of a stream may come from another target.
+     *
+     * @param version the software version that began the stream, empty before the first event
+     */
+    boolean mayGoOnElsewhere(String version);
+
+    /**
+     * The target has sent nothing since a point in time, in milliseconds, so that its other connections are in doubt.
+     */
+    void onSilence(long sinceMillis);
+
+    /** Records the outcome of the attempt. */
+    void observe(OutlierDetector.Outcome outcome);
+
+    /** The attempt has ended. */
+    void ended();
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -8,7 +8,6 @@
 import io.lagoonseam.core.forward.PromptSegments;
 import io.lagoonseam.core.forward.RetryAfter;
 import io.lagoonseam.core.forward.UpstreamChooser;
-import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.forward.WorkKind;
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.placement.PlacementDecision;
@@ -66,16 +65,11 @@
     /** The software version that began the stream, empty before the first event, or if it is not known. */
     private String softwareVersion;
 
-    private String sentVersion = "";
     private boolean begun;
     private long heldBytes;
     private UpstreamAttempt attempt;
-    private UpstreamState worker;
-    private Permit permit = Permit.UNLIMITED;
-    private Placement placement = Placement.NONE;
+    private AttemptTarget target;
     private long queueDeadlineMillis;
-    private long unreadTokens;
-    private long tokensAhead;
     private long sentMillis;
 
     private UpstreamResponseHeaders answer;
@@ -283,28 +277,13 @@
      */
     void send(UpstreamChooser.Choice choice, DecidedBy decidedBy, long tokensBefore, Permit taken, Placement granting) {
         queued = false;
-        permit = taken;
-        placement = granting;
-        worker = choice.worker();
-        sentVersion = worker.record().softwareVersion();
-        Optional<WorkerConnections> connections =
-                dispatcher.connections(worker.record().id());
-        tokensAhead = tokensBefore;
-        unreadTokens = choice.unreadTokens();
-        worker.started(unreadTokens, prompt().tokens());
-        if (prompt().prefixTokens() > 0) {
-            worker.cachedSegments().recordUse(prompt().prefixHash(), nowMillis());
-        }
-        triedWorkers.add(worker.record().id());
-        log.sent(choice, decidedBy, triedWorkers.size(), tokensAhead, lastEventId);
-        answer = null;
-        dropAnswer();
-        if (connections.isEmpty()) {
-            onFailure(new AttemptResult.NotRun("the worker has left", false));
-            return;
-        }
+        WorkerTarget to =
+                new WorkerTarget(dispatcher, environment.time(), log, prompt(), choice, tokensBefore, taken, granting);
+        triedWorkers.add(to.name());
+        log.sent(choice, decidedBy, triedWorkers.size(), tokensBefore, lastEventId);
+        gate.sending(choice.worker().record());
         UpstreamRequestHeaders added = new UpstreamRequestHeaders(
-                worker.record().id(),
+                to.name(),
                 Math.max(1, remainingMillis()),
                 priority(),
                 admitted.workspace(),
@@ -312,7 +291,19 @@
                 choice.copyFrom()
                         .map(from -> new ListenAddress(
                                 from.record().host(), from.record().port())));
-        MultiMap headers = environment.protocol().upstreamHeaders(request.headers(), added);
+        attempt(to, environment.protocol().upstreamHeaders(request.headers(), added));
+    }
+
+    private void attempt(AttemptTarget to, MultiMap headers) {
+        target = to;
+        target.starting();
+        Optional<WorkerConnections> connections = target.connections();
+        answer = null;
+        dropAnswer();
+        if (connections.isEmpty()) {
+            onFailure(new AttemptResult.NotRun("the worker has left", false));
+            return;
+        }
         attempt = new UpstreamAttempt(
                 environment.protocol(),
                 connections.get(),
@@ -324,21 +315,17 @@
                         admitted.callerHeaders().requestId()),
                 this);
         sentMillis = nowMillis();
-        gate.sending(worker.record());
         dispatcher.sent().add(this);
         attempt.start();
     }
 
     @Override
     public boolean maySend() {
-        return permit.valid(environment.time()) && gate.passes();
+        return target.maySend() && gate.passes();
     }
 
     @Override
     public void onNotSent() {
-        if (!permit.valid(environment.time())) {
-            log.permitExpired(worker);
-        }
         endAttempt();
         if (!done) {
             enter();
@@ -350,8 +337,7 @@
         runs++;
         sentMillis = nowMillis();
         if (kind().retryable()) {
-            double expectedMillis = worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens);
-            responseTimer.restart(times.responseTimeoutMillis(expectedMillis), this::onResponseTimeout);
+            responseTimer.restart(times.responseTimeoutMillis(target.expectedMillis()), this::onResponseTimeout);
         }
     }
 
@@ -360,18 +346,14 @@
             return;
         }
         boolean attemptsLeft = runs < admitted.route().maxAttempts() && remainingMillis() > 0;
-        boolean mayGoOn =
-                remainingKind().retryable() && dispatcher.mayGoOnElsewhere(service(), softwareVersion, worker);
+        boolean mayGoOn = remainingKind().retryable() && target.mayGoOnElsewhere(softwareVersion);
         if (!attemptsLeft || !mayGoOn || !gate.mayRetry() || !tryTakeRetry()) {
             // if no retry is possible, keep waiting: a late response is better than none
             return;
         }
         retryReserved = true;
         attempt.cancel();
-        long sinceMillis = sentMillis;
-        dispatcher
-                .connections(worker.record().id())
-                .ifPresent(connections -> connections.closeWithoutResponseSince(sinceMillis));
+        target.onSilence(sentMillis);
         onFailure(new AttemptResult.Silent());
     }
 
@@ -379,11 +361,7 @@
     public void onHeaders(UpstreamResponseHeaders received, MultiMap headers) {
         answer = received;
         answerHeaders = headers;
-        received.load().ifPresent(load -> {
-            worker.recordDirectLoad(load, nowMillis());
-            placement.load(load);
-        });
-        dispatcher.announcements().onAnswer(worker, received, sentMillis);
+        target.onHeaders(received, sentMillis);
     }
 
     @Override
@@ -430,8 +408,8 @@
         if (progressed) {
             gate.answerBegan();
         }
-        if (progressed && (unreadTokens > 0 || !callerResponse.headersWritten())) {
-            observeFirstEvent();
+        if (progressed && (target.readsPrompt() || !callerResponse.headersWritten())) {
+            target.onFirstEvent(nowMillis() - sentMillis);
         }
         if (!splitter.lastId().isEmpty()) {
             lastEventId = splitter.lastId();
@@ -452,8 +430,8 @@
     /** Records which software version began the stream, before the first event is forwarded. */
     private void begin() {
         begun = true;
-        if (softwareVersion.isEmpty() && dispatcher.stillHasVersion(worker, sentVersion)) {
-            softwareVersion = sentVersion;
+        if (softwareVersion.isEmpty()) {
+            softwareVersion = target.softwareVersion();
         }
         if (kind().retryable()) {
             long lifetimeMillis =
@@ -475,21 +453,6 @@
         }
     }
 
-    private void observeFirstEvent() {
-        worker.firstEventTime().observe(tokensAhead + unreadTokens, nowMillis() - sentMillis);
-        placement.firstEvent(nowMillis() - sentMillis);
-        if (prompt().prefixTokens() > 0) {
-            worker.cachedSegments().recordRead(prompt().prefixHash(), nowMillis());
-            dispatcher.recordCachedSegment(worker.record().id(), prompt().prefixHash());
-        }
-        releaseUnreadTokens();
-    }
-
-    private void releaseUnreadTokens() {
-        worker.promptRead(unreadTokens);
-        unreadTokens = 0;
-    }
-
     @Override
     public void onEnd() {
         endAttempt();
@@ -498,24 +461,24 @@
             runs--;
             rejections++;
             if (answer.wrongWorker()) {
-                observe(worker, OutlierDetector.Outcome.REPLACED);
+                target.observe(OutlierDetector.Outcome.REPLACED);
             }
             decide(new AttemptResult.NotRun("status " + answer.status(), true));
             return;
         }
         if (answer.succeeded() && !answer.genuine()) {
-            observe(worker, OutlierDetector.Outcome.FAILED);
+            target.observe(OutlierDetector.Outcome.FAILED);
             decide(new AttemptResult.Broken(MISSING_SEAL));
             return;
         }
         if (endsWithinEvent()) {
-            observe(worker, OutlierDetector.Outcome.FAILED);
+            target.observe(OutlierDetector.Outcome.FAILED);
             decide(new AttemptResult.Broken("the stream ended within an event"));
             return;
         }
         // a worker that asks for a pause is overloaded, not failing
         boolean failed = answer.status() >= 500 && answer.retryAfterMillis() == 0;
-        observe(worker, failed ? OutlierDetector.Outcome.FAILED : OutlierDetector.Outcome.ANSWERED);
+        target.observe(failed ? OutlierDetector.Outcome.FAILED : OutlierDetector.Outcome.ANSWERED);
         decide(new AttemptResult.Answered(answer.status()));
     }
 
@@ -527,18 +490,9 @@
         return answer.eventStream() && EventSplitter.endsWithinEvent(bufferedBody);
     }
 
-    private void observe(UpstreamState from, OutlierDetector.Outcome outcome) {
-        boolean ejectedBefore = from.outlierDetector().ejected();
-        dispatcher.observe(from, outcome);
-        placement.outcome(outcome);
-        log.observed(from, outcome, ejectedBefore);
-    }
-
     private void endAttempt() {
         responseTimer.cancel();
-        releaseUnreadTokens();
-        worker.ended(prompt().tokens());
-        placement.ended();
+        target.ended();
         dispatcher.sent().remove(this);
         attempt = null;
     }
@@ -548,15 +502,14 @@
         endAttempt();
         if (result instanceof AttemptResult.NotRun) {
             connectFailures++;
-            observe(worker, OutlierDetector.Outcome.SILENT);
+            target.observe(OutlierDetector.Outcome.SILENT);
         } else {
-            observe(
-                    worker,
+            target.observe(
                     result instanceof AttemptResult.Silent
                             ? OutlierDetector.Outcome.SILENT
                             : OutlierDetector.Outcome.FAILED);
         }
-        log.attemptFailed(worker, result, sentMillis, lastEventId);
+        log.attemptFailed(target.name(), result, sentMillis, lastEventId);
         if (result instanceof AttemptResult.Broken) {
             gate.brokeOff();
         }
@@ -611,7 +564,7 @@
         } else {
             callerResponse.writeComplete(answer, answerHeaders, bufferedBody);
         }
-        log.answered(worker, answer.status(), callerResponse.firstEventMillis(), arrivals());
+        log.answered(target.name(), answer.status(), callerResponse.firstEventMillis(), arrivals());
         finish();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -91,11 +91,11 @@
                 lastEventId);
     }
 
-    void attemptFailed(UpstreamState worker, AttemptResult result, long sentMillis, String lastEventId) {
+    void attemptFailed(String target, AttemptResult result, long sentMillis, String lastEventId) {
         recordDecision(
                 EventCode.ATTEMPT_FAILED,
                 "worker",
-                worker.record().id(),
+                target,
                 "result",
                 result,
                 "verdict",
@@ -110,8 +110,8 @@
         recordDecision(EventCode.QUARANTINE_TRIED);
     }
 
-    void permitExpired(UpstreamState worker) {
-        recordDecision(EventCode.PERMIT_EXPIRED, "worker", worker.record().id());
+    void permitExpired(String worker) {
+        recordDecision(EventCode.PERMIT_EXPIRED, "worker", worker);
     }
 
     /**
@@ -144,13 +144,13 @@
                 nodes);
     }
 
-    void answered(UpstreamState worker, int status, long firstEventMillis, int arrivals) {
+    void answered(String target, int status, long firstEventMillis, int arrivals) {
         recordDecision(
                 EventCode.REQUEST_ANSWERED,
                 "status",
                 status,
                 "worker",
-                worker.record().id(),
+                target,
                 "after_ms",
                 ageMillis(),
                 "first_event_ms",
--- /dev/null
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
@@ -0,0 +1,154 @@
+package io.lagoonseam.entry.forward;
+
+import io.lagoonseam.core.forward.OutlierDetector;
+import io.lagoonseam.core.forward.PromptSegments;
+import io.lagoonseam.core.forward.UpstreamChooser;
+import io.lagoonseam.core.forward.UpstreamState;
+import io.lagoonseam.core.ratelimit.Permit;
+import io.lagoonseam.core.time.TimeSource;
+import io.lagoonseam.entry.placement.Placement;
+import java.util.Optional;
+
+/** A worker that one attempt of a request goes to. */
+final class WorkerTarget implements AttemptTarget {
+
+    private final ForwardDispatcher dispatcher;
+    private final TimeSource time;
+    private final RequestLog log;
+    private final PromptSegments prompt;
+    private final UpstreamState worker;
+    private final String sentVersion;
+    private final long tokensAhead;
+    private final Permit permit;
+    private final Placement placement;
+    private long unreadTokens;
+
+    /**
+     * Creates a target.
+     *
+     * @param dispatcher has the workers
+     * @param time the clocks
+     * @param log the log of the request
+     * @param prompt the prompt of the request
+     * @param choice the choice of the worker
+     * @param tokensAhead the unread prompt tokens of other requests at the worker
+     * @param permit the permit to send the request
+     * @param placement receives what becomes of the request
+     */
+    WorkerTarget(
+            ForwardDispatcher dispatcher,
+            TimeSource time,
+            RequestLog log,
+            PromptSegments prompt,
+            UpstreamChooser.Choice choice,
+            long tokensAhead,
+            Permit permit,
+            Placement placement) {
+        this.dispatcher = dispatcher;
+        this.time = time;
+        this.log = log;
+        this.prompt = prompt;
+        this.worker = choice.worker();
+        this.sentVersion = worker.record().softwareVersion();
+        this.tokensAhead = tokensAhead;
+        this.permit = permit;
+        this.placement = placement;
+        this.unreadTokens = choice.unreadTokens();
+    }
+
+    private String id() {
+        return worker.record().id();
+    }
+
+    @Override
+    public String name() {
+        return id();
+    }
+
+    @Override
+    public Optional<WorkerConnections> connections() {
+        return dispatcher.connections(id());
+    }
+
+    @Override
+    public void starting() {
+        worker.started(unreadTokens, prompt.tokens());
+        if (prompt.prefixTokens() > 0) {
+            worker.cachedSegments().recordUse(prompt.prefixHash(), time.monotonicMillis());
+        }
+    }
+
+    @Override
+    public boolean maySend() {
+        boolean valid = permit.valid(time);
+        if (!valid) {
+            log.permitExpired(id());
+        }
+        return valid;
+    }
+
+    @Override
+    public double expectedMillis() {
+        return worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens);
+    }
+
+    @Override
+    public void onHeaders(UpstreamResponseHeaders received, long sentMillis) {
+        received.load().ifPresent(load -> {
+            worker.recordDirectLoad(load, time.monotonicMillis());
+            placement.load(load);
+        });
+        dispatcher.announcements().onAnswer(worker, received, sentMillis);
+    }
+
+    @Override
+    public boolean readsPrompt() {
+        return unreadTokens > 0;
+    }
+
+    @Override
+    public void onFirstEvent(long afterMillis) {
+        worker.firstEventTime().observe(tokensAhead + unreadTokens, afterMillis);
+        placement.firstEvent(afterMillis);
+        if (prompt.prefixTokens() > 0) {
+            worker.cachedSegments().recordRead(prompt.prefixHash(), time.monotonicMillis());
+            dispatcher.recordCachedSegment(id(), prompt.prefixHash());
+        }
+        releaseUnreadTokens();
+    }
+
+    private void releaseUnreadTokens() {
+        worker.promptRead(unreadTokens);
+        unreadTokens = 0;
+    }
+
+    @Override
+    public String softwareVersion() {
+        return dispatcher.stillHasVersion(worker, sentVersion) ? sentVersion : "";
+    }
+
+    @Override
+    public boolean mayGoOnElsewhere(String version) {
+        return dispatcher.mayGoOnElsewhere(worker.record().service(), version, worker);
+    }
+
+    @Override
+    public void onSilence(long sinceMillis) {
+        connections().ifPresent(connections -> connections.closeWithoutResponseSince(sinceMillis));
+    }
+
+    @Override
+    public void observe(OutlierDetector.Outcome outcome) {
+        boolean ejectedBefore = worker.outlierDetector().ejected();
+        dispatcher.observe(worker, outcome);
+        placement.outcome(outcome);
+        log.observed(worker, outcome, ejectedBefore);
+    }
+
+    @Override
+    public void ended() {
+        releaseUnreadTokens();
+        worker.ended(prompt.tokens());
+        placement.ended();
+    }
+}
