Log when a node reaches no worker of a service, and when it does again

Nothing told a node that is cut off from the loss of all workers: at the five nodes of the incident, event 442 says that up to nine workers crashed, which served the other nodes all the while. WorkerReach follows the attempts of each service. Nothing else depends on it yet.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -142,6 +142,10 @@
     QUARANTINE_ENDED(444, EventLevel.INFO, "Requests are sent again that workers were taken to crash under"),
     /** A request in quarantine was let through to see whether a worker answers it. */
     QUARANTINE_TRIED(445, EventLevel.INFO, "A request in quarantine was let through"),
+    /** No worker of a service accepts a connection of this node. */
+    WORKERS_CUT_OFF(446, EventLevel.WARNING, "This node reaches no worker of a service"),
+    /** A worker of a service accepts a connection of this node again. */
+    WORKERS_REACHED(447, EventLevel.INFO, "This node reaches workers of a service again"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.entry.forward;
 
+import io.lagoonseam.core.forward.AttemptResult;
 import io.lagoonseam.core.forward.OutlierDetector;
 import java.util.Optional;
 
@@ -15,6 +16,12 @@
     /** The attempt is about to begin. */
     void starting();
 
+    /** A connection to the target is being opened. */
+    void onConnecting();
+
+    /** A connection to the target has been opened. */
+    void onConnected();
+
     /** Returns whether the request may still be sent there. */
     boolean maySend();
 
@@ -24,6 +31,9 @@
     /** The header section of an answer has been received. */
     void onHeaders(UpstreamResponseHeaders received, long sentMillis);
 
+    /** A part of the body of an answer has been received. */
+    void onBody();
+
     /** Returns whether the target has not shown yet that it has read the prompt. */
     boolean readsPrompt();
 
@@ -49,9 +59,12 @@
      */
     void onSilence(long sinceMillis);
 
-    /** Records the outcome of the attempt. */
+    /** Records the outcome of an attempt that got a complete answer. */
     void observe(OutlierDetector.Outcome outcome);
 
+    /** Records that the attempt has failed. */
+    void observeFailure(AttemptResult result);
+
     /** The attempt has ended. */
     void ended();
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -82,6 +82,7 @@
     private final Map<String, List<Long>> newlyCachedSegments = new HashMap<>();
     private final WorkerAnnouncements announcements;
     private final CrashCheck crashCheck;
+    private final WorkerReach reach;
     private PermitSource permits = PermitSource.UNLIMITED;
     private final VersionHistory versionHistory = new VersionHistory();
     private final RouteHistory routeHistory = new RouteHistory();
@@ -102,6 +103,7 @@
         int memoryMegabytes = environment.settings().resources().memoryMegabytes();
         this.answerBuffers =
                 new AnswerBuffers<>(Math.round(ANSWER_MEMORY_SHARE * memoryMegabytes * (1 << 20)), MAX_ANSWER_BYTES);
+        this.reach = new WorkerReach(environment, this::servingWorkers);
         this.crashCheck = new CrashCheck(environment, directory);
         this.announcements = new WorkerAnnouncements(environment, directory, this::refresh);
         this.plainChooser =
@@ -537,6 +539,17 @@
         return Optional.empty();
     }
 
+    private List<UpstreamRecord> servingWorkers(String service) {
+        return queue(service).workers().workers().values().stream()
+                .map(UpstreamState::record)
+                .toList();
+    }
+
+    /** Returns what knows whether this node reaches the workers of a service. */
+    WorkerReach reach() {
+        return reach;
+    }
+
     /** Returns the states of all serving workers, including ejected ones. */
     List<UpstreamState> workers() {
         List<UpstreamState> all = new ArrayList<>();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -227,6 +227,7 @@
                 "answers.buffered_bytes", () -> (int) dispatcher.answerBuffers().bytes());
         metrics.gauge("nodes.alive", dispatcher::nodeCount);
         metrics.gauge("workers.serving", () -> dispatcher.workers().size());
+        metrics.gauge("services.cut_off", dispatcher.reach()::cutOffServices);
         metrics.gauge("streams.remembered", origins::size);
         metrics.gauge("quarantine.suspects", quarantine::size);
     }
@@ -322,6 +323,7 @@
         nodes.checkNodes();
         exchange.broadcast();
         quarantine.tick();
+        dispatcher.reach().tick();
         dispatcher.ejectFailing();
         exchange.pullIfUnconfigured();
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -319,6 +319,16 @@
         attempt.start();
     }
 
+    @Override
+    public void onConnecting() {
+        target.onConnecting();
+    }
+
+    @Override
+    public void onConnected() {
+        target.onConnected();
+    }
+
     @Override
     public boolean maySend() {
         return target.maySend() && gate.passes();
@@ -366,6 +376,7 @@
 
     @Override
     public void onBody(Buffer bytes) {
+        target.onBody();
         if (!kind().stream() || !answer.succeeded()) {
             bufferedBody.appendBuffer(bytes);
             hold(bufferedBody.length());
@@ -502,13 +513,8 @@
         endAttempt();
         if (result instanceof AttemptResult.NotRun) {
             connectFailures++;
-            target.observe(OutlierDetector.Outcome.SILENT);
-        } else {
-            target.observe(
-                    result instanceof AttemptResult.Silent
-                            ? OutlierDetector.Outcome.SILENT
-                            : OutlierDetector.Outcome.FAILED);
         }
+        target.observeFailure(result);
         log.attemptFailed(target.name(), result, sentMillis, lastEventId);
         if (result instanceof AttemptResult.Broken) {
             gate.brokeOff();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.forward.AttemptResult;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -37,6 +38,12 @@
      */
     interface Listener {
 
+        /** No connection is open that can be used, so that one is being opened. */
+        void onConnecting();
+
+        /** A connection has been opened for the request. */
+        void onConnected();
+
         /** Returns whether the request may still be sent, now that there is a connection. */
         boolean maySend();
 
@@ -67,7 +74,12 @@
     }
 
     void start() {
-        connections.acquire().onComplete(acquired -> {
+        Future<WorkerConnections.Connection> acquiring = connections.acquire();
+        boolean opened = !acquiring.isComplete();
+        if (opened) {
+            listener.onConnecting();
+        }
+        acquiring.onComplete(acquired -> {
             if (ended) {
                 if (acquired.succeeded()) {
                     acquired.result().close();
@@ -80,6 +92,9 @@
                 return;
             }
             connection = acquired.result();
+            if (opened) {
+                listener.onConnected();
+            }
             connection
                     .http()
                     .request(new RequestOptions().setMethod(message.method()).setURI(message.uri()))
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.entry.forward;
 
+import io.lagoonseam.core.forward.AttemptResult;
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.PromptSegments;
 import io.lagoonseam.core.forward.UpstreamChooser;
@@ -21,6 +22,7 @@
     private final long tokensAhead;
     private final Permit permit;
     private final Placement placement;
+    private final WorkerReach.Attempt reach;
     private long unreadTokens;
 
     /**
@@ -54,6 +56,7 @@
         this.permit = permit;
         this.placement = placement;
         this.unreadTokens = choice.unreadTokens();
+        this.reach = dispatcher.reach().begin(worker.record().service(), id());
     }
 
     private String id() {
@@ -78,6 +81,16 @@
         }
     }
 
+    @Override
+    public void onConnecting() {
+        reach.connecting();
+    }
+
+    @Override
+    public void onConnected() {
+        reach.connected();
+    }
+
     @Override
     public boolean maySend() {
         boolean valid = permit.valid(time);
@@ -94,6 +107,7 @@
 
     @Override
     public void onHeaders(UpstreamResponseHeaders received, long sentMillis) {
+        reach.heard();
         received.load().ifPresent(load -> {
             worker.recordDirectLoad(load, time.monotonicMillis());
             placement.load(load);
@@ -101,6 +115,11 @@
         dispatcher.announcements().onAnswer(worker, received, sentMillis);
     }
 
+    @Override
+    public void onBody() {
+        reach.heard();
+    }
+
     @Override
     public boolean readsPrompt() {
         return unreadTokens > 0;
@@ -145,8 +164,16 @@
         log.observed(worker, outcome, ejectedBefore);
     }
 
+    @Override
+    public void observeFailure(AttemptResult result) {
+        reach.failed();
+        boolean unresponsive = result instanceof AttemptResult.NotRun || result instanceof AttemptResult.Silent;
+        observe(unresponsive ? OutlierDetector.Outcome.SILENT : OutlierDetector.Outcome.FAILED);
+    }
+
     @Override
     public void ended() {
+        reach.ended();
         releaseUnreadTokens();
         worker.ended(prompt.tokens());
         placement.ended();
