Show that callers of nodes that are cut off from all workers are refused

CutOffNodeTest puts links that can be cut between real nodes and workers, and cuts some nodes off while callers, the store and the other nodes reach them: in silence, with resets, or with refused connections only.

--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -13,6 +13,7 @@
 import io.lagoonseam.platform.HttpCollectionStore;
 import io.lagoonseam.platform.JsonRecordDecoder;
 import io.lagoonseam.platform.NodeSettingsReader;
+import io.lagoonseam.standin.link.CuttableLink;
 import io.lagoonseam.standin.operator.PlatformFixtures;
 import io.lagoonseam.standin.store.StoreStandIn;
 import io.lagoonseam.standin.worker.WorkerOptions;
@@ -31,7 +32,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -64,7 +67,9 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
             .build();
-    private final int peerPort = FreePorts.find();
+    private final int peerPort = FreePorts.findTwo();
+    private final Map<Node, NodeLinks> linksByNode = new HashMap<>();
+    private boolean cuttable;
     private long version = 1;
 
     /**
@@ -166,6 +171,21 @@
         }
     }
 
+    /** Puts links that can be cut between the workers and the nodes that are started from now on. */
+    public void makeCuttable() {
+        cuttable = true;
+    }
+
+    /**
+     * Cuts a node off from all workers, or ends the cut. Takes effect before this returns.
+     *
+     * @param node the node, which was started after {@link #makeCuttable()}
+     * @param cut how its links fail
+     */
+    public void cut(Node node, CuttableLink.Cut cut) {
+        linksByNode.get(node).cut(cut);
+    }
+
     /**
      * Starts a node with a stop deadline of 8 seconds and without seed nodes.
      *
@@ -195,14 +215,16 @@
                 new Random(nodes.size()),
                 logFactory.apply(name),
                 new MetricRegistry());
+        NodeLinks links = new NodeLinks(new JsonRecordDecoder());
         ForwardNode node = new ForwardNode(
                 environment,
                 new HttpCollectionStore(vertx, () -> current.get().store(), environment.events()),
-                new JsonRecordDecoder(),
+                cuttable ? links : new JsonRecordDecoder(),
                 Optional.empty());
         await(vertx.deployVerticle(context -> node.start()));
         Node startedNode = new Node(vertx, node, settings);
         nodes.add(startedNode);
+        linksByNode.put(startedNode, links);
         return startedNode;
     }
 
@@ -397,6 +419,7 @@
     @Override
     public void close() {
         nodes.forEach(node -> await(node.vertx().close()));
+        linksByNode.values().forEach(NodeLinks::close);
         await(standInVertx.close());
     }
 }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/FreePorts.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/fleet/FreePorts.java
@@ -43,6 +43,21 @@
         throw new IllegalStateException("none of " + MAX_ATTEMPTS + " randomly chosen loopback ports was free");
     }
 
+    /**
+     * Finds two ports in a row as {@link #find()} does.
+     *
+     * @return the first of the ports
+     */
+    public static int findTwo() {
+        for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+            int first = find();
+            if (isFree(first + 1) && GIVEN.add(first + 1)) {
+                return first;
+            }
+        }
+        throw new IllegalStateException("no two loopback ports in a row were free");
+    }
+
     private static boolean isFree(int port) {
         try (ServerSocket socket = new ServerSocket()) {
             socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -115,7 +115,7 @@
                             .put("crashMillis", CRASH_MILLIS));
             breakStreams(engine, 1 + random.nextInt(MAX_BREAK_EVENTS));
         }
-        int peerPort = FreePorts.find();
+        int peerPort = FreePorts.findTwo();
         for (int index = 0; index < nodeCount; index++) {
             NodeProcess node = new NodeProcess(folder, index, peerPort, store.port());
             nodes.add(node);
--- /dev/null
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
@@ -0,0 +1,226 @@
+package io.lagoonseam.bench.deployment;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.lagoonseam.standin.link.CuttableLink.Cut;
+import io.lagoonseam.standin.operator.PlatformFixtures;
+import io.lagoonseam.standin.worker.WorkerOptions;
+import io.lagoonseam.standin.worker.WorkerStandIn;
+import io.vertx.core.json.JsonObject;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what callers get from nodes that are cut off from all workers while callers, store and peers reach them. */
+public class CutOffNodeTest {
+
+    /** The time after which a cut may no longer be felt, in milliseconds. */
+    private static final long CONTACT_MILLIS = 3_000;
+
+    private static final long CUT_MILLIS = 7_000;
+    private static final long REQUEST_INTERVAL_MILLIS = 8;
+
+    /** First tries that may fail, besides a share of all. */
+    private static final int MAX_FAILURES = 10;
+
+    private static final double MAX_FAILURE_SHARE = 1.0 / 50;
+    private static final double MIN_SHARE_OF_OTHERS = 2.0 / 3;
+
+    private final Queue<String> events = new ConcurrentLinkedQueue<>();
+    private final List<WorkerStandIn> workers = new ArrayList<>();
+    private final List<Sent> sent = new ArrayList<>();
+    private LocalDeployment deployment;
+    private List<LocalDeployment.Node> nodes;
+
+    private record Sent(
+            String id, String path, int node, long atMillis, CompletableFuture<HttpResponse<String>> answer) {
+
+        /** Returns the status, 0 if there is no whole answer. */
+        int status() {
+            try {
+                return answer.join().statusCode();
+            } catch (CompletionException e) {
+                return 0;
+            }
+        }
+
+        boolean served() {
+            return status() == 200
+                    && answer.join().body().contains(id)
+                    && (!path.startsWith("/talk") || answer.join().body().contains("id: 10\n"));
+        }
+    }
+
+    @AfterMethod
+    public void close() {
+        deployment.close();
+        workers.clear();
+        sent.clear();
+        events.clear();
+    }
+
+    private void start(int nodeCount) {
+        deployment = new LocalDeployment(events::add);
+        deployment.makeCuttable();
+        for (int index = 1; index <= 3; index++) {
+            workers.add(deployment.startWorker("app", WorkerOptions.plain("p" + index)));
+            workers.add(deployment.startWorker("llm", WorkerOptions.engine("e" + index)));
+        }
+        deployment.configure();
+        nodes = new ArrayList<>();
+        for (int index = 0; index < nodeCount; index++) {
+            nodes.add(deployment.startNode(8, index == 0 ? List.of() : List.of(LocalDeployment.peerHost(0))));
+        }
+        nodes.forEach(deployment::awaitReady);
+        sendFor(1_500);
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void sendFor(long millis) {
+        long endMillis = nowMillis() + millis;
+        while (nowMillis() < endMillis) {
+            send(sent.size() % nodes.size());
+            pause(REQUEST_INTERVAL_MILLIS);
+        }
+    }
+
+    private void send(int node) {
+        int number = sent.size();
+        String id = "c" + number;
+        String path =
+                switch (number / nodes.size() % 3) {
+                    case 0 -> "/read/x";
+                    case 1 -> "/pay/x";
+                    default -> "/talk/x";
+                };
+        HttpRequest.Builder request = deployment.request(nodes.get(node), path, id);
+        if (path.startsWith("/talk")) {
+            PlatformFixtures.promptHeaders("a" + number % 5, "b" + number).forEach(request::header);
+        } else if (path.startsWith("/pay")) {
+            request.POST(HttpRequest.BodyPublishers.ofString("{\"pay\":" + number + "}"));
+        }
+        sent.add(new Sent(
+                id,
+                path,
+                node,
+                nowMillis(),
+                deployment.client().sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())));
+    }
+
+    private void cut(int from, int to, Cut cut) {
+        for (int index = from; index < to; index++) {
+            deployment.cut(nodes.get(index), cut);
+        }
+    }
+
+    private static double servedShare(List<Sent> requests) {
+        return requests.isEmpty()
+                ? 1
+                : (double) requests.stream().filter(Sent::served).count() / requests.size();
+    }
+
+    /** Checks the requests that were sent within a span of time, by whether their node was cut off. */
+    private void assertServedAlike(long fromMillis, long toMillis, int cutFrom, int cutTo) {
+        List<Sent> atCut = new ArrayList<>();
+        List<Sent> atOthers = new ArrayList<>();
+        for (Sent request : sent) {
+            if (request.atMillis() >= fromMillis && request.atMillis() < toMillis) {
+                (request.node() >= cutFrom && request.node() < cutTo ? atCut : atOthers).add(request);
+            }
+        }
+        double atCutShare = servedShare(atCut);
+        double othersShare = servedShare(atOthers);
+        long failed = atCut.stream().filter(request -> !request.served()).count();
+        String seen = "served " + atCutShare + " of " + atCut.size() + " at nodes that were cut off, " + othersShare
+                + " of " + atOthers.size() + " at others";
+        assertTrue(atCutShare >= MIN_SHARE_OF_OTHERS * othersShare, seen);
+        assertTrue(failed <= MAX_FAILURES + MAX_FAILURE_SHARE * (atCut.size() + atOthers.size()), seen);
+    }
+
+    private void assertRunAsAnswered() {
+        Map<String, Integer> runs = new HashMap<>();
+        Set<String> statedNotRun = new HashSet<>();
+        for (Sent request : sent) {
+            if (request.status() == 503) {
+                statedNotRun.add(request.id());
+            }
+        }
+        for (WorkerStandIn worker : workers) {
+            for (JsonObject run : worker.recordedRequests()) {
+                runs.merge(run.getString("id"), 1, Integer::sum);
+            }
+        }
+        for (Sent request : sent) {
+            int count = runs.getOrDefault(request.id(), 0);
+            assertTrue(count <= (request.path().startsWith("/pay") ? 1 : 2), request + " ran " + count + " times");
+            assertTrue(count == 0 || !statedNotRun.contains(request.id()), request + " ran, and got 503");
+        }
+    }
+
+    private long logged(String name, int fromNode, int toNode) {
+        return events.stream()
+                .filter(event -> event.contains("\"" + name + "\""))
+                .filter(event -> {
+                    String node = new JsonObject(event).getString("node");
+                    int index = Integer.parseInt(node.substring(node.indexOf('-') + 1)) - 1;
+                    return index >= fromNode && index < toNode;
+                })
+                .count();
+    }
+
+    @DataProvider
+    public Object[][] cuts() {
+        return new Object[][] {
+            {8, 1, Cut.SILENT},
+            {8, 5, Cut.RESET},
+            {8, 7, Cut.REFUSE},
+            {11, 10, Cut.SILENT},
+            {11, 4, Cut.RESET},
+        };
+    }
+
+    @Test(dataProvider = "cuts")
+    public void callersOfNodesThatAreCutOffAreServedLikeOthers(int nodeCount, int cutCount, Cut cut) {
+        start(nodeCount);
+        long cutAtMillis = nowMillis();
+        cut(0, cutCount, cut);
+        sendFor(CUT_MILLIS);
+        long healedAtMillis = nowMillis();
+        cut(0, cutCount, Cut.NONE);
+        sendFor(CONTACT_MILLIS + 1_000);
+        assertServedAlike(cutAtMillis + CONTACT_MILLIS, healedAtMillis, 0, cutCount);
+        assertServedAlike(healedAtMillis + CONTACT_MILLIS, Long.MAX_VALUE, 0, cutCount);
+        assertRunAsAnswered();
+        assertEquals(logged("UPSTREAM_CRASHED", 0, nodeCount), 0, "no worker crashed");
+        assertEquals(logged("UPSTREAM_SET_ASIDE", cutCount, nodeCount), 0, "no worker was ejected elsewhere");
+        assertEquals(logged("WORKERS_CUT_OFF", cutCount, nodeCount), 0, "the other nodes are not cut off");
+        for (LocalDeployment.Node node : nodes) {
+            assertTrue(node.metrics(deployment.client()).contains("services.cut_off 0"), "the cut is over everywhere");
+        }
+    }
+}
--- /dev/null
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/link/package-info.java
@@ -0,0 +1,2 @@
+/** Network links between the parties of a deployment, which tests can cut. */
+package io.lagoonseam.standin.link;
