Draw no conclusion about workers from failures of a node that is cut off

What callers saw: nodes that were not cut off refused requests too.

Cause: two unanswered attempts in a row eject a worker, at the node and, where homes place requests, for all nodes; a failure was taken as the worker's, never as the node's own.

Now the failure of an attempt counts against its worker only once another worker of the service has accepted a connection of this node since the attempt began, and not at all while none does (event 449).

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -146,6 +146,8 @@
     WORKERS_CUT_OFF(446, EventLevel.WARNING, "This node reaches no worker of a service"),
     /** A worker of a service accepts a connection of this node again. */
     WORKERS_REACHED(447, EventLevel.INFO, "This node reaches workers of a service again"),
+    /** The failure of an attempt says nothing about its worker, since this node is cut off. */
+    FAILURE_INCONCLUSIVE(449, EventLevel.INFO, "A send failed since this node is cut off, not for its worker"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -91,6 +91,10 @@
                 lastEventId);
     }
 
+    void inconclusive(String worker) {
+        recordDecision(EventCode.FAILURE_INCONCLUSIVE, "worker", worker);
+    }
+
     void attemptFailed(String target, AttemptResult result, long sentMillis, String lastEventId) {
         recordDecision(
                 EventCode.ATTEMPT_FAILED,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
@@ -37,6 +37,7 @@
     private static final class Service {
         private final String name;
         private final ServiceReach reach = new ServiceReach();
+        private final List<Held> held = new ArrayList<>();
         private boolean cutOff;
 
         Service(String name) {
@@ -44,6 +45,9 @@
         }
     }
 
+    /** A conclusion about a worker that holds only if this node reaches others. */
+    private record Held(Runnable conclusion, Runnable onDropped) {}
+
     /** Follows one attempt at a worker. */
     final class Attempt {
 
@@ -81,6 +85,23 @@
             check(service, workerId);
         }
 
+        /**
+         * Draws a conclusion about the worker from the failure of the attempt if it was not this node that was cut off.
+         *
+         * @param conclusion called at once if another worker has accepted a connection since the attempt began, or as
+         *     soon as one does
+         * @param onDropped called instead if this node is cut off
+         */
+        void conclude(Runnable conclusion, Runnable onDropped) {
+            if (service.reach.connectedSince(beganMillis)) {
+                conclusion.run();
+            } else if (service.reach.cutOff()) {
+                onDropped.run();
+            } else {
+                service.held.add(new Held(conclusion, onDropped));
+            }
+        }
+
         /** The attempt has ended, whatever its outcome. Called once. */
         void ended() {
             slowConnect.cancel();
@@ -198,6 +219,7 @@
 
     private void update(Service service) {
         boolean cutOff = service.reach.cutOff();
+        settle(service);
         if (cutOff != service.cutOff) {
             service.cutOff = cutOff;
             environment
@@ -211,4 +233,16 @@
                             workersOf.apply(service.name).size());
         }
     }
+
+    private static void settle(Service service) {
+        if (service.reach.doubtful()) {
+            return;
+        }
+        List<Held> held = List.copyOf(service.held);
+        service.held.clear();
+        held.forEach(
+                service.reach.cutOff()
+                        ? dropped -> dropped.onDropped().run()
+                        : kept -> kept.conclusion().run());
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
@@ -168,7 +168,9 @@
     public void observeFailure(AttemptResult result) {
         reach.failed();
         boolean unresponsive = result instanceof AttemptResult.NotRun || result instanceof AttemptResult.Silent;
-        observe(unresponsive ? OutlierDetector.Outcome.SILENT : OutlierDetector.Outcome.FAILED);
+        OutlierDetector.Outcome outcome =
+                unresponsive ? OutlierDetector.Outcome.SILENT : OutlierDetector.Outcome.FAILED;
+        reach.conclude(() -> observe(outcome), () -> log.inconclusive(id()));
     }
 
     @Override
