--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeLinks.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeLinks.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.bench.deployment;
 
+import io.lagoonseam.bench.fleet.FreePorts;
 import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.entry.forward.RecordDecoder;
@@ -43,7 +44,7 @@
 
     private CuttableLink link(UpstreamRecord record) {
         return links.computeIfAbsent(record.port(), port -> {
-            CuttableLink link = new CuttableLink(record.host(), port);
+            CuttableLink link = new CuttableLink(record.host(), FreePorts.find(), port);
             link.cut(cut);
             return link;
         });
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -146,8 +146,12 @@
     WORKERS_CUT_OFF(446, EventLevel.WARNING, "This node reaches no worker of a service"),
     /** A worker of a service accepts a connection of this node again. */
     WORKERS_REACHED(447, EventLevel.INFO, "This node reaches workers of a service again"),
+    /** This node is cut off, and another one sends the request to a worker. */
+    REQUEST_DETOURED(448, EventLevel.INFO, "A request was sent through another node"),
     /** The failure of an attempt says nothing about its worker, since this node is cut off. */
     FAILURE_INCONCLUSIVE(449, EventLevel.INFO, "A send failed since this node is cut off, not for its worker"),
+    /** A request that another node sends through this one lacks what that node decided about it. */
+    DETOUR_MALFORMED(450, EventLevel.WARNING, "A request of another node cannot be read"),
 
     /** The intent of an operation could not be made durable. */
     JOURNAL_UNAVAILABLE(501, EventLevel.WARNING, "The journal cannot record the intent now"),
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RequestQueue.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RequestQueue.java
@@ -75,6 +75,15 @@
         return expired;
     }
 
+    /**
+     * Returns the queued requests.
+     *
+     * @return a copy, in no order
+     */
+    public List<T> requests() {
+        return queue.stream().map(Entry::request).toList();
+    }
+
     /**
      * Returns the number of queued requests.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceRetryBudget.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceRetryBudget.java
@@ -58,6 +58,11 @@
         removeExpired(nowMillis);
     }
 
+    /** Takes back the latest request that was counted and is not too old to count: another node counts it. */
+    public void withdrawRequest() {
+        requests.pollLast();
+    }
+
     /**
      * Takes one retry from the budget.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
@@ -2,7 +2,9 @@
 
 import io.lagoonseam.core.forward.AttemptResult;
 import io.lagoonseam.core.forward.OutlierDetector;
+import io.lagoonseam.wire.DetourMessages.Outcome;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** Where one attempt of a request goes, and what has to hear of its progress. */
 interface AttemptTarget {
@@ -25,11 +27,26 @@
     /** Returns whether the request may still be sent there. */
     boolean maySend();
 
-    /** Returns the time that the first events are expected to take, in milliseconds. */
-    double expectedMillis();
+    /** Returns whether it is a worker, and not a node that sends the request on to one. */
+    boolean isWorker();
 
-    /** The header section of an answer has been received. */
-    void onHeaders(UpstreamResponseHeaders received, long sentMillis);
+    /** Returns what a node through which the request was sent has told about it, empty if it is a worker. */
+    Optional<Outcome> told();
+
+    /**
+     * Returns the time that the first events are expected to take, in milliseconds; empty if it is not for this node to
+     * watch that.
+     */
+    OptionalDouble expectedMillis();
+
+    /**
+     * The header section of an answer has been received.
+     *
+     * @param received the parsed headers
+     * @param told what a node through which the request was sent tells about it, empty if it tells nothing
+     * @param sentMillis the time at which the request was sent, in milliseconds
+     */
+    void onHeaders(UpstreamResponseHeaders received, Optional<Outcome> told, long sentMillis);
 
     /** A part of the body of an answer has been received. */
     void onBody();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.entry.forward;
 
+import io.lagoonseam.wire.DetourMessages.Outcome;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -17,13 +18,15 @@
 
     private final ForwardProtocol protocol;
     private final HttpServerRequest request;
+    private final RequestSource source;
     private final HttpServerResponse response;
     private long firstEventMillis = NO_EVENT_YET;
     private boolean closeDelimited;
 
-    CallerResponse(ForwardProtocol protocol, HttpServerRequest request) {
+    CallerResponse(ForwardProtocol protocol, HttpServerRequest request, RequestSource source) {
         this.protocol = protocol;
         this.request = request;
+        this.source = source;
         this.response = request.response();
     }
 
@@ -52,13 +55,14 @@
      * Writes the status and headers of a stream unless they have been written already. The response is framed only if
      * that of the worker is.
      */
-    void writeHeaders(UpstreamResponseHeaders answer, MultiMap headers, long sinceArrivalMillis) {
+    void writeHeaders(UpstreamResponseHeaders answer, MultiMap headers, long sinceArrivalMillis, Outcome outcome) {
         if (headersWritten()) {
             return;
         }
         firstEventMillis = sinceArrivalMillis;
         response.setStatusCode(answer.status());
         response.headers().addAll(protocol.responseHeaders(headers));
+        source.addOutcome(response.headers(), outcome);
         response.setChunked(true);
         if (!answer.selfDelimited()) {
             delimitByClose();
@@ -101,9 +105,10 @@
     }
 
     /** Writes a worker's complete response, which is framed only if that of the worker is. */
-    void writeComplete(UpstreamResponseHeaders answer, MultiMap headers, Buffer body) {
+    void writeComplete(UpstreamResponseHeaders answer, MultiMap headers, Buffer body, Outcome outcome) {
         response.setStatusCode(answer.status());
         response.headers().addAll(protocol.responseHeaders(headers));
+        source.addOutcome(response.headers(), outcome);
         if (!answer.selfDelimited() && request.method() != HttpMethod.HEAD) {
             response.setChunked(true);
             delimitByClose();
@@ -112,9 +117,10 @@
     }
 
     /** Writes a response that this node generates itself; its body is the explanation, which may be empty. */
-    void writeNodeResponse(int status, String requestId, long retryAfterMillis, String explanation) {
+    void writeNodeResponse(int status, String requestId, String explanation, Outcome outcome) {
         response.setStatusCode(status);
-        protocol.addNodeHeaders(response.headers(), requestId, retryAfterMillis);
+        protocol.addNodeHeaders(response.headers(), requestId, outcome.retryAfterMillis());
+        source.addOutcome(response.headers(), outcome);
         if (explanation.isEmpty()) {
             response.end();
         } else {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CurrentSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CurrentSettings.java
@@ -42,6 +42,7 @@
                 initial.callers(),
                 initial.readiness(),
                 initial.peers(),
+                initial.detours(),
                 initial.firstStart(),
                 loaded.seedHosts(),
                 loaded.store(),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -83,6 +83,7 @@
     private final WorkerAnnouncements announcements;
     private final CrashCheck crashCheck;
     private final WorkerReach reach;
+    private Detours detours = Detours.NONE;
     private PermitSource permits = PermitSource.UNLIMITED;
     private final VersionHistory versionHistory = new VersionHistory();
     private final RouteHistory routeHistory = new RouteHistory();
@@ -104,6 +105,7 @@
         this.answerBuffers =
                 new AnswerBuffers<>(Math.round(ANSWER_MEMORY_SHARE * memoryMegabytes * (1 << 20)), MAX_ANSWER_BYTES);
         this.reach = new WorkerReach(environment, this::servingWorkers);
+        reach.onCutOff(this::onCutOff);
         this.crashCheck = new CrashCheck(environment, directory);
         this.announcements = new WorkerAnnouncements(environment, directory, this::refresh);
         this.plainChooser =
@@ -326,7 +328,7 @@
         UpstreamState state = service.newState(record);
         state.cachedSegments().presumeAllCached(assumedUntilMillis);
         workers.put(record.id(), state);
-        connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time));
+        connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time, () -> true));
     }
 
     /** Returns what applies the announcements of workers and of peers about them. */
@@ -362,6 +364,11 @@
         queue(service).retryBudget().recordRequest(time.monotonicMillis());
     }
 
+    /** Takes back that a request has been counted: another node counts it. */
+    void uncountRequest(String service) {
+        queue(service).retryBudget().withdrawRequest();
+    }
+
     /**
      * Has the home of the service place a request or, if there is none, places it by this node's own decision. The
      * request is queued until it can be placed or the queue deadline passes.
@@ -539,6 +546,22 @@
         return Optional.empty();
     }
 
+    /** Sets what finds nodes through which requests are sent while this one is cut off from workers. */
+    void detours(Detours value) {
+        this.detours = value;
+    }
+
+    Detours detours() {
+        return detours;
+    }
+
+    private void onCutOff(String service) {
+        List<ForwardedRequest> affected = new ArrayList<>();
+        sent.stream().filter(request -> request.service().equals(service)).forEach(affected::add);
+        affected.addAll(queue(service).queuedRequests().requests());
+        affected.forEach(ForwardedRequest::onCutOff);
+    }
+
     private List<UpstreamRecord> servingWorkers(String service) {
         return queue(service).workers().workers().values().stream()
                 .map(UpstreamState::record)
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -8,6 +8,7 @@
 import io.lagoonseam.core.ratelimit.AnnouncedLimits;
 import io.lagoonseam.core.ratelimit.IssuerStanding;
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
+import io.lagoonseam.entry.detour.DetourExchange;
 import io.lagoonseam.entry.peer.PeerTransportOptions;
 import io.lagoonseam.entry.peer.VertxPeerTransport;
 import io.lagoonseam.entry.placement.HomeChannel;
@@ -26,6 +27,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpVersion;
 import java.util.ArrayList;
@@ -77,6 +79,8 @@
     private final PermitClient permits;
     private final StreamOriginExchange origins;
     private final QuarantineExchange quarantine;
+    private final DetourServer detourServer;
+    private final DetourExchange detours;
     private final DispatchTicker ticker;
     private final VertxPeerTransport transport;
     private final List<CollectionFollower> followers;
@@ -102,14 +106,12 @@
         Vertx vertx = environment.vertx();
         MetricRegistry registry = environment.registry();
         RequestMetrics metrics = new RequestMetrics(registry);
-        this.dispatcher = new ForwardDispatcher(
-                environment,
-                vertx.createHttpClient(new HttpClientOptions()
-                        .setProtocolVersion(HttpVersion.HTTP_1_1)
-                        .setKeepAlive(true)
-                        .setTcpNoDelay(true)
-                        .setDecompressionSupported(false)),
-                directory);
+        HttpClientAgent client = vertx.createHttpClient(new HttpClientOptions()
+                .setProtocolVersion(HttpVersion.HTTP_1_1)
+                .setKeepAlive(true)
+                .setTcpNoDelay(true)
+                .setDecompressionSupported(false));
+        this.dispatcher = new ForwardDispatcher(environment, client, directory);
         this.storeReplica = new StoreReplica(environment, decoder, directory, dispatcher::configure, this::onUpstreams);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
         this.operations = new OperationsServer(vertx, this::ready, registry);
@@ -143,7 +145,10 @@
         dispatcher.origins(origins);
         this.quarantine = newQuarantine();
         dispatcher.quarantine(quarantine);
-        addGauges(metrics);
+        this.detourServer = new DetourServer(environment, dispatcher, metrics);
+        this.detours = newDetourExchange();
+        dispatcher.detours(Detours.through(
+                detours, client, environment.settings().detours().port(), environment.time()));
         this.homes = new HomeServer(
                 new HomeServer.Environment(
                         vertx,
@@ -187,14 +192,9 @@
         dispatcher.onWork(ticker::wake);
         placement.onWork(ticker::wake);
         homes.onWork(ticker::wake);
-        metrics.gauge("homes.candidates", () -> nodes.capacities().size());
-        metrics.gauge("homes.served", homes::homes);
-        metrics.gauge("homes.requests_waiting", homes::queuedRequests);
-        metrics.gauge("homes.requests_placed", homes::placedRequests);
-        metrics.gauge("placement.requests_waiting", placement::waitingRequests);
-        metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
         this.followers = newFollowers(store);
+        addGauges(metrics);
     }
 
     private List<CollectionFollower> newFollowers(CollectionStore store) {
@@ -227,9 +227,16 @@
                 "answers.buffered_bytes", () -> (int) dispatcher.answerBuffers().bytes());
         metrics.gauge("nodes.alive", dispatcher::nodeCount);
         metrics.gauge("workers.serving", () -> dispatcher.workers().size());
+        metrics.gauge("detours.in_flight", detourServer::inFlight);
         metrics.gauge("services.cut_off", dispatcher.reach()::cutOffServices);
         metrics.gauge("streams.remembered", origins::size);
         metrics.gauge("quarantine.suspects", quarantine::size);
+        metrics.gauge("homes.candidates", () -> nodes.capacities().size());
+        metrics.gauge("homes.served", homes::homes);
+        metrics.gauge("homes.requests_waiting", homes::queuedRequests);
+        metrics.gauge("homes.requests_placed", homes::placedRequests);
+        metrics.gauge("placement.requests_waiting", placement::waitingRequests);
+        metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
     }
 
     private QuarantineExchange newQuarantine() {
@@ -245,6 +252,20 @@
                 new QuarantineListener(environment.events(), dispatcher::onQuarantined)));
     }
 
+    private DetourExchange newDetourExchange() {
+        return new DetourExchange(new DetourExchange.Environment(
+                environment.time(),
+                transport,
+                task -> environment.vertx().runOnContext(nothing -> task.run()),
+                environment.random(),
+                nodes.ownId(),
+                nodes::others,
+                service -> detourServer.stopping()
+                        ? CompletableFuture.completedFuture(false)
+                        : dispatcher.reach().verify(service, ""),
+                detourServer::inFlight));
+    }
+
     private StreamOriginExchange newOriginExchange() {
         Vertx vertx = environment.vertx();
         return new StreamOriginExchange(new StreamOriginExchange.Environment(
@@ -284,6 +305,7 @@
         Vertx vertx = environment.vertx();
         followers.forEach(CollectionFollower::start);
         return front.start()
+                .compose(nothing -> detourServer.start())
                 .compose(nothing -> operations.listen(environment.settings().readiness()))
                 .compose(nothing -> vertx.deployVerticle(transport))
                 .compose(nothing -> metricsAddress.isPresent()
@@ -324,6 +346,7 @@
         exchange.broadcast();
         quarantine.tick();
         dispatcher.reach().tick();
+        detours.tick();
         dispatcher.ejectFailing();
         exchange.pullIfUnconfigured();
     }
@@ -369,6 +392,7 @@
                 environment.time().monotonicMillis(),
                 environment.settings().bounds().stopMillis());
         front.beginStop(policy);
+        detourServer.beginStop();
         nodes.deregister();
         homes.stop();
         permitServer.stop();
@@ -379,7 +403,7 @@
             environment.vertx().setPeriodic(STOP_POLL_MILLIS, pollTimer -> {
                 front.closeQuietConnections();
                 boolean deadlinePassed = environment.time().monotonicMillis() >= policy.exitMillis();
-                if (front.drained() || deadlinePassed) {
+                if (front.drained() && detourServer.drained() || deadlinePassed) {
                     environment.vertx().cancelTimer(pollTimer);
                     environment.events().record(EventCode.NODE_STOPPED, front.inFlight() + " requests in flight");
                     ended.tryComplete();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardProtocol.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardProtocol.java
@@ -23,6 +23,14 @@
      */
     MultiMap upstreamHeaders(MultiMap callerHeaders, UpstreamRequestHeaders added);
 
+    /**
+     * Creates the headers of a request that another node sends for this one.
+     *
+     * @param callerHeaders the caller's headers
+     * @return the caller's headers without those that concern only the caller's connection, and without its API key
+     */
+    MultiMap peerHeaders(MultiMap callerHeaders);
+
     /**
      * Parses the status and headers of a worker's response.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -6,7 +6,6 @@
 import io.lagoonseam.core.forward.NextStep;
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.PromptSegments;
-import io.lagoonseam.core.forward.RetryAfter;
 import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.WorkKind;
 import io.lagoonseam.core.forward.WorkerDemand;
@@ -17,6 +16,7 @@
 import io.lagoonseam.entry.placement.PlacedRequest;
 import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.settings.ListenAddress;
+import io.lagoonseam.wire.DetourMessages;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -42,10 +42,6 @@
 
     private static final String MISSING_SEAL = "a success without the worker's mark";
 
-    private static final int SERVICE_UNAVAILABLE = 503;
-    private static final int BAD_GATEWAY = 502;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private final ForwardEnvironment environment;
     private final ForwardDispatcher dispatcher;
     private final RequestLog log;
@@ -58,15 +54,12 @@
     private final Set<String> triedWorkers = new HashSet<>();
     private final RouteTimes times;
     private final QuarantineGate gate;
+    private final RequestSource source;
+    private final RequestDetour detour;
     private final Runnable onDone;
-    private EventSplitter splitter = new EventSplitter();
-    private Buffer bufferedBody = Buffer.buffer();
-    private String lastEventId;
-    /** The software version that began the stream, empty before the first event, or if it is not known. */
-    private String softwareVersion;
-
-    private boolean begun;
-    private long heldBytes;
+    private final AttemptCounts counts;
+    private final ReceivedAnswer received;
+    private final RequestEnd end;
     private UpstreamAttempt attempt;
     private AttemptTarget target;
     private long queueDeadlineMillis;
@@ -74,12 +67,6 @@
 
     private UpstreamResponseHeaders answer;
     private MultiMap answerHeaders;
-    /** Number of attempts that a worker has run or may have run. */
-    private int runs;
-    /** Number of attempts that a worker proved not to have run. */
-    private int rejections;
-
-    private int connectFailures;
     private boolean queued;
     private boolean retryReserved;
     private boolean done;
@@ -91,6 +78,7 @@
             ForwardDispatcher dispatcher,
             RequestMetrics metrics,
             AdmittedRequest admitted,
+            RequestSource source,
             HttpServerRequest request,
             Buffer body,
             long arrivedMillis,
@@ -99,7 +87,9 @@
         this.dispatcher = dispatcher;
         this.admitted = admitted;
         this.request = request;
-        this.callerResponse = new CallerResponse(environment.protocol(), request);
+        this.source = source;
+        this.detour = new RequestDetour(dispatcher, environment.protocol(), admitted, source);
+        this.callerResponse = new CallerResponse(environment.protocol(), request, source);
         this.body = body;
         this.arrivedMillis = arrivedMillis;
         this.log = new RequestLog(environment, metrics, admitted, arrivedMillis);
@@ -108,8 +98,12 @@
         this.deadlineTimer = new RequestTimer(environment.vertx());
         this.responseTimer = new RequestTimer(environment.vertx());
         this.onDone = onDone;
-        this.lastEventId = admitted.callerHeaders().lastEventId();
-        this.softwareVersion = admitted.softwareVersion();
+        this.triedWorkers.addAll(source.triedWorkers());
+        this.counts = new AttemptCounts(admitted.route().maxAttempts());
+        this.received = new ReceivedAnswer(
+                admitted.route().kind().stream(), admitted.callerHeaders().lastEventId(), admitted.softwareVersion());
+        this.end = new RequestEnd(
+                environment, dispatcher, admitted, log, gate, callerResponse, counts, received, this::finish);
         long callerTimeoutMillis = admitted.callerHeaders().timeoutMillis();
         long timeoutMillis = admitted.route().timeoutMillis();
         this.deadlineMillis = arrivedMillis
@@ -154,7 +148,7 @@
                 priority(),
                 atHome,
                 triedWorkers,
-                softwareVersion);
+                received.softwareVersion());
     }
 
     /** Returns whether the request has not been sent and not been ended. */
@@ -168,7 +162,7 @@
 
     /** Returns the kind of what is left of the work: a stream of unknown version cannot go on elsewhere. */
     private WorkKind remainingKind() {
-        return begun && softwareVersion.isEmpty() ? WorkKind.STREAM : kind();
+        return received.begun() && received.softwareVersion().isEmpty() ? WorkKind.STREAM : kind();
     }
 
     private long nowMillis() {
@@ -184,7 +178,7 @@
         request.response().closeHandler(nothing -> onCallerGone());
         request.response().exceptionHandler(cause -> onCallerGone());
         deadlineTimer.restart(remainingMillis() + DEADLINE_GRACE_MILLIS, this::onDeadline);
-        dispatcher.countRequest(service());
+        detour.count();
         log.accepted(remainingMillis(), gate.digest());
         enter();
     }
@@ -192,9 +186,12 @@
     /** Queues the request, unless it is in quarantine and not let through. */
     private void enter() {
         gate.endTry();
+        if (source.letThrough()) {
+            gate.letThroughElsewhere();
+        }
         if (gate.passes()) {
             submit();
-        } else if (runs + rejections > 0) {
+        } else if (counts.arrivals() > 0) {
             endQuarantined();
         } else {
             gate.tryOnce().thenAccept(allowed -> {
@@ -212,11 +209,10 @@
     }
 
     private void endQuarantined() {
-        String reason = gate.reason();
-        if (runs > 0) {
-            respondFromNode(BAD_GATEWAY, 0, reason);
+        if (counts.runs() > 0) {
+            end.fail(RequestEnd.BAD_GATEWAY, gate.reason());
         } else {
-            respondFromNode(SERVICE_UNAVAILABLE, QuarantineGate.RETRY_AFTER_MILLIS, reason);
+            end.refuseUntil(QuarantineGate.RETRY_AFTER_MILLIS, gate.reason());
         }
     }
 
@@ -231,9 +227,74 @@
 
     private void submit() {
         queued = true;
-        long waitMillis = times.queueWaitMillis(!dispatcher.workers().isEmpty(), !softwareVersion.isEmpty());
+        long waitMillis = times.queueWaitMillis(
+                !dispatcher.workers().isEmpty(), !received.softwareVersion().isEmpty());
         queueDeadlineMillis = Math.min(deadlineMillis, nowMillis() + waitMillis);
-        dispatcher.submit(this, queueDeadlineMillis);
+        if (counts.none()) {
+            place();
+        } else {
+            dispatcher.reach().whenKnown(service(), this::place);
+        }
+    }
+
+    private void place() {
+        if (!queued) {
+            return;
+        }
+        if (detour.deadEnd()) {
+            queued = false;
+            endDeadEnd();
+        } else if (detour.needed()) {
+            detour.find().thenAccept(this::placeThrough);
+        } else {
+            dispatcher.submit(this, queueDeadlineMillis);
+        }
+    }
+
+    private void endDeadEnd() {
+        String reason = "this node is cut off from the workers";
+        if (counts.runs() > 0) {
+            end.fail(RequestEnd.BAD_GATEWAY, reason);
+        } else {
+            end.leaveToOthers(reason);
+        }
+    }
+
+    private void placeThrough(Optional<String> peer) {
+        if (!queued) {
+            return;
+        }
+        if (peer.isEmpty()) {
+            dispatcher.submit(this, queueDeadlineMillis);
+            return;
+        }
+        queued = false;
+        if (target == null || target.isWorker()) {
+            counts.resetConnectFailures();
+        }
+        PeerTarget to = detour.target(peer.get());
+        log.sentThrough(to.name(), received.lastEventId());
+        RequestDetour.Progress progress = new RequestDetour.Progress(
+                nowMillis() - arrivedMillis,
+                Math.max(1, remainingMillis()),
+                counts.runsLeft(),
+                received.softwareVersion(),
+                received.lastEventId(),
+                triedWorkers,
+                gate.letThrough());
+        attempt(to, detour.headers(request.headers(), progress));
+    }
+
+    /** Has another node tried, since this one turned out to be cut off from the workers of the service. */
+    void onCutOff() {
+        if (queued) {
+            dispatcher.withdraw(this);
+            place();
+        } else if (attempt != null && target.isWorker() && !attempt.sending()) {
+            attempt.cancel();
+            endAttempt();
+            enter();
+        }
     }
 
     /** Called when the request waits, at this node or at the home of its service. */
@@ -245,7 +306,10 @@
     @Override
     public void onGranted(PlacementDecision.Granted granted, Placement granting) {
         Optional<UpstreamChooser.Choice> choice = dispatcher.choice(granted, demand());
-        if (choice.isEmpty()) {
+        if (detour.needed()) {
+            granting.ended();
+            place();
+        } else if (choice.isEmpty()) {
             granting.ended();
             dispatcher.submitLocally(this, queueDeadlineMillis);
         } else {
@@ -280,18 +344,18 @@
         WorkerTarget to =
                 new WorkerTarget(dispatcher, environment.time(), log, prompt(), choice, tokensBefore, taken, granting);
         triedWorkers.add(to.name());
-        log.sent(choice, decidedBy, triedWorkers.size(), tokensBefore, lastEventId);
+        log.sent(choice, decidedBy, triedWorkers.size(), tokensBefore, received.lastEventId());
         gate.sending(choice.worker().record());
         UpstreamRequestHeaders added = new UpstreamRequestHeaders(
                 to.name(),
                 Math.max(1, remainingMillis()),
                 priority(),
                 admitted.workspace(),
-                lastEventId,
+                received.lastEventId(),
                 choice.copyFrom()
                         .map(from -> new ListenAddress(
                                 from.record().host(), from.record().port())));
-        attempt(to, environment.protocol().upstreamHeaders(request.headers(), added));
+        attempt(to, environment.protocol().upstreamHeaders(source.callerHeaders(request.headers()), added));
     }
 
     private void attempt(AttemptTarget to, MultiMap headers) {
@@ -344,19 +408,24 @@
 
     @Override
     public void onSending() {
-        runs++;
+        counts.sending();
         sentMillis = nowMillis();
+        if (!target.isWorker()) {
+            detour.sending();
+        }
         if (kind().retryable()) {
-            responseTimer.restart(times.responseTimeoutMillis(target.expectedMillis()), this::onResponseTimeout);
+            target.expectedMillis()
+                    .ifPresent(expected ->
+                            responseTimer.restart(times.responseTimeoutMillis(expected), this::onResponseTimeout));
         }
     }
 
     private void onResponseTimeout() {
-        if (done || attempt == null) {
+        if (done || attempt == null || brokenStreamGoesBack()) {
             return;
         }
-        boolean attemptsLeft = runs < admitted.route().maxAttempts() && remainingMillis() > 0;
-        boolean mayGoOn = remainingKind().retryable() && target.mayGoOnElsewhere(softwareVersion);
+        boolean attemptsLeft = counts.runsLeft() > 0 && remainingMillis() > 0;
+        boolean mayGoOn = remainingKind().retryable() && target.mayGoOnElsewhere(received.softwareVersion());
         if (!attemptsLeft || !mayGoOn || !gate.mayRetry() || !tryTakeRetry()) {
             // if no retry is possible, keep waiting: a late response is better than none
             return;
@@ -368,18 +437,19 @@
     }
 
     @Override
-    public void onHeaders(UpstreamResponseHeaders received, MultiMap headers) {
-        answer = received;
-        answerHeaders = headers;
-        target.onHeaders(received, sentMillis);
+    public void onHeaders(UpstreamResponseHeaders parsed, MultiMap headers) {
+        answer = parsed;
+        target.onHeaders(parsed, DetourHeader.outcome(headers), sentMillis);
+        answerHeaders = target.isWorker() ? headers : DetourHeader.without(headers);
+        target.told().ifPresent(counts::told);
     }
 
     @Override
     public void onBody(Buffer bytes) {
         target.onBody();
         if (!kind().stream() || !answer.succeeded()) {
-            bufferedBody.appendBuffer(bytes);
-            hold(bufferedBody.length());
+            received.append(bytes);
+            hold();
             return;
         }
         if (!answer.genuine()) {
@@ -387,48 +457,42 @@
             onFailure(new AttemptResult.Broken(MISSING_SEAL));
             return;
         }
-        Buffer events = splitter.feed(bytes);
+        Buffer events = received.split(bytes);
         if (events.length() > 0) {
             onEvents(events);
         }
-        hold(splitter.rest().length());
+        hold();
     }
 
-    private void hold(long bytes) {
-        if (bytes != heldBytes) {
-            heldBytes = bytes;
-            dispatcher.answerBuffers().hold(this, bytes).ifPresent(ForwardedRequest::giveUpAnswer);
-        }
+    private void hold() {
+        dispatcher.answerBuffers().hold(this, received.heldBytes()).ifPresent(ForwardedRequest::giveUpAnswer);
     }
 
     private void giveUpAnswer() {
-        long bytes = heldBytes;
+        long bytes = received.heldBytes();
         dropAnswer();
         attempt.cancel();
         onFailure(new AttemptResult.Broken("the answer occupies " + bytes + " bytes without an end"));
     }
 
     private void dropAnswer() {
-        bufferedBody = Buffer.buffer();
-        splitter = new EventSplitter(lastEventId);
-        hold(0);
+        received.drop();
+        hold();
     }
 
     private void onEvents(Buffer events) {
-        boolean progressed = splitter.progressed();
+        boolean progressed = received.progressed();
         if (progressed) {
             gate.answerBegan();
         }
         if (progressed && (target.readsPrompt() || !callerResponse.headersWritten())) {
             target.onFirstEvent(nowMillis() - sentMillis);
         }
-        if (!splitter.lastId().isEmpty()) {
-            lastEventId = splitter.lastId();
-        }
-        if (progressed && !begun) {
+        received.forwarded();
+        if (progressed && !received.begun()) {
             begin();
         }
-        callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
+        callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis, end.answered());
         if (!callerResponse.writeEvents(events, this::onCallerDrained)) {
             // the worker is not silent while this node does not read from it
             attempt.pause();
@@ -440,14 +504,13 @@
 
     /** Records which software version began the stream, before the first event is forwarded. */
     private void begin() {
-        begun = true;
-        if (softwareVersion.isEmpty()) {
-            softwareVersion = target.softwareVersion();
-        }
+        received.begin(target.softwareVersion());
         if (kind().retryable()) {
             long lifetimeMillis =
                     times.originLifetimeMillis(admitted.callerHeaders().timeoutMillis());
-            dispatcher.origins().began(admitted.stream(), new StreamOrigin(service(), softwareVersion), lifetimeMillis);
+            dispatcher
+                    .origins()
+                    .began(admitted.stream(), new StreamOrigin(service(), received.softwareVersion()), lifetimeMillis);
         }
     }
 
@@ -467,10 +530,12 @@
     @Override
     public void onEnd() {
         endAttempt();
+        if (target.told().isPresent() && target.told().get().result() != DetourMessages.Result.ANSWERED) {
+            onNotAnswered(target.told().get());
+            return;
+        }
         if (answer.notRun() || answer.wrongWorker()) {
-            // onSending counted this attempt as run; the worker has proved that it was not
-            runs--;
-            rejections++;
+            counts.rejected();
             if (answer.wrongWorker()) {
                 target.observe(OutlierDetector.Outcome.REPLACED);
             }
@@ -482,7 +547,7 @@
             decide(new AttemptResult.Broken(MISSING_SEAL));
             return;
         }
-        if (endsWithinEvent()) {
+        if (received.endsWithinEvent(answer)) {
             target.observe(OutlierDetector.Outcome.FAILED);
             decide(new AttemptResult.Broken("the stream ended within an event"));
             return;
@@ -493,12 +558,28 @@
         decide(new AttemptResult.Answered(answer.status()));
     }
 
-    /** Returns whether a stream of events, on any kind of route, has ended before the end of its last event. */
-    private boolean endsWithinEvent() {
-        if (kind().stream() && answer.succeeded()) {
-            return splitter.rest().length() > 0;
+    private void onNotAnswered(DetourMessages.Outcome told) {
+        switch (told.result()) {
+            case NOT_TAKEN -> {
+                detour.notTaken();
+                AttemptResult notTaken = new AttemptResult.NotRun(told.reason(), false);
+                counts.connectFailed();
+                target.observeFailure(notTaken);
+                decide(notTaken);
+            }
+            case REFUSED -> {
+                if (counts.runs() > 0) {
+                    end.fail(RequestEnd.BAD_GATEWAY, told.reason());
+                } else {
+                    end.refuseUntil(told.retryAfterMillis(), told.reason());
+                }
+            }
+            default ->
+                decide(
+                        answer.status() == RequestEnd.GATEWAY_TIMEOUT
+                                ? new AttemptResult.Silent()
+                                : new AttemptResult.Broken(told.reason()));
         }
-        return answer.eventStream() && EventSplitter.endsWithinEvent(bufferedBody);
     }
 
     private void endAttempt() {
@@ -512,11 +593,15 @@
     public void onFailure(AttemptResult result) {
         endAttempt();
         if (result instanceof AttemptResult.NotRun) {
-            connectFailures++;
+            counts.connectFailed();
         }
         target.observeFailure(result);
-        log.attemptFailed(target.name(), result, sentMillis, lastEventId);
-        if (result instanceof AttemptResult.Broken) {
+        log.attemptFailed(target.name(), result, sentMillis, received.lastEventId());
+        if (!target.isWorker() && result instanceof AttemptResult.Broken && answer == null) {
+            // the node does not tell how many workers have run it
+            counts.unknown();
+        }
+        if (target.isWorker() && result instanceof AttemptResult.Broken) {
             gate.brokeOff();
         }
         decide(result);
@@ -526,8 +611,11 @@
         if (done) {
             return;
         }
-        AttemptPolicy.History history = new AttemptPolicy.History(
-                remainingKind(), admitted.route().maxAttempts(), runs, rejections, connectFailures, remainingMillis());
+        if (brokenStreamGoesBack() && !(result instanceof AttemptResult.Answered)) {
+            end.breakOff(answer.status(), result.toString());
+            return;
+        }
+        AttemptPolicy.History history = counts.history(remainingKind(), remainingMillis());
         NextStep step = AttemptPolicy.next(result, history, () -> gate.mayRetry() && tryTakeRetry());
         switch (step) {
             case RETRY -> {
@@ -535,14 +623,20 @@
                 enter();
             }
             case FORWARD_ANSWER -> forwardAnswer();
-            case REFUSE -> refuse(result.toString());
+            case REFUSE -> end.refuse(result.toString(), 0, remainingMillis());
             case FAIL ->
-                respondFromNode(
-                        result instanceof AttemptResult.Silent ? GATEWAY_TIMEOUT : BAD_GATEWAY, 0, result.toString());
+                end.fail(
+                        result instanceof AttemptResult.Silent ? RequestEnd.GATEWAY_TIMEOUT : RequestEnd.BAD_GATEWAY,
+                        result.toString());
         }
         dispatcher.dispatchQueued();
     }
 
+    /** Returns whether the rest of the stream is for the node to get that has sent the request. */
+    private boolean brokenStreamGoesBack() {
+        return !source.mayDetour() && callerResponse.headersWritten();
+    }
+
     private boolean tryTakeRetry() {
         if (retryReserved) {
             retryReserved = false;
@@ -554,59 +648,10 @@
     }
 
     private void forwardAnswer() {
-        if (answer.succeeded()) {
+        if (answer.succeeded() && target.isWorker()) {
             gate.answered(answer.selfDelimited());
         }
-        if (kind().stream() && answer.succeeded()) {
-            callerResponse.writeHeaders(answer, answerHeaders, nowMillis() - arrivedMillis);
-            if (!answer.selfDelimited() && !callerResponse.closeDelimited()) {
-                abort("a resumed stream ended without a length or chunks");
-                return;
-            }
-            callerResponse.endStream();
-        } else if (callerResponse.headersWritten()) {
-            abort("a resumed stream ended with status " + answer.status());
-            return;
-        } else {
-            callerResponse.writeComplete(answer, answerHeaders, bufferedBody);
-        }
-        log.answered(target.name(), answer.status(), callerResponse.firstEventMillis(), arrivals());
-        finish();
-    }
-
-    /** Refuses a request that provably has not run and states when to retry. */
-    private void refuse(String reason) {
-        refuse(reason, 0);
-    }
-
-    private void refuse(String reason, long backlogMillis) {
-        long retryAfterMillis = RetryAfter.delayMillis(
-                remainingMillis(),
-                Math.max(backlogMillis, dispatcher.limitBacklogMillis(service())),
-                dispatcher.pauseMillis(service()),
-                environment.random().nextDouble());
-        respondFromNode(SERVICE_UNAVAILABLE, retryAfterMillis, reason);
-    }
-
-    private void respondFromNode(int status, long retryAfterMillis, String reason) {
-        if (callerResponse.headersWritten()) {
-            abort(reason);
-            return;
-        }
-        if (status == SERVICE_UNAVAILABLE) {
-            log.refused(status, reason, arrivals(), retryAfterMillis);
-        } else {
-            log.failed(status, reason, arrivals(), lastEventId);
-        }
-        callerResponse.writeNodeResponse(
-                status, admitted.callerHeaders().requestId(), retryAfterMillis, gate.passes() ? "" : reason);
-        finish();
-    }
-
-    private void abort(String reason) {
-        log.failed(answer == null ? 0 : answer.status(), "broken off: " + reason, arrivals(), lastEventId);
-        finish();
-        callerResponse.abort();
+        end.forward(target, answer, answerHeaders, nowMillis() - arrivedMillis);
     }
 
     /**
@@ -619,10 +664,10 @@
 
     private void endUnplaced(String reason, long backlogMillis) {
         queued = false;
-        if (runs > 0) {
-            respondFromNode(BAD_GATEWAY, 0, reason);
+        if (counts.runs() > 0) {
+            end.fail(RequestEnd.BAD_GATEWAY, reason);
         } else {
-            refuse(reason, backlogMillis);
+            end.refuse(reason, backlogMillis, remainingMillis());
         }
     }
 
@@ -630,18 +675,18 @@
         if (done) {
             return;
         }
-        boolean unsent = attempt == null && runs == 0;
+        boolean unsent = attempt == null && counts.runs() == 0;
         cancelWork();
         if (unsent) {
-            refuse("the deadline passed while it waited");
+            end.refuse("the deadline passed while it waited", 0, remainingMillis());
         } else {
-            respondFromNode(GATEWAY_TIMEOUT, 0, "the deadline passed");
+            end.fail(RequestEnd.GATEWAY_TIMEOUT, "the deadline passed");
         }
     }
 
     private void onCallerGone() {
         if (!done) {
-            log.callerGone(arrivals());
+            log.callerGone(counts.arrivals());
             cancelWork();
             finish();
         }
@@ -658,10 +703,6 @@
         }
     }
 
-    private int arrivals() {
-        return runs + rejections;
-    }
-
     private void finish() {
         done = true;
         dropAnswer();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -418,6 +418,7 @@
                                     stream,
                                     softwareVersion,
                                     admission.priority()),
+                            RequestSource.CALLER,
                             request,
                             body,
                             arrivedMillis,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -88,6 +88,11 @@
         return address.host() + ":" + address.port();
     }
 
+    /** Returns the host in the id of a node. */
+    static String host(String id) {
+        return id.substring(0, id.lastIndexOf(':'));
+    }
+
     private static Optional<PeerAddress> parse(String id) {
         int colon = id.lastIndexOf(':');
         try {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
@@ -11,6 +11,8 @@
  * @param callers the address that callers connect to
  * @param readiness the address that serves the readiness check
  * @param peers the address that other nodes connect to
+ * @param detours the address on which this node takes requests of nodes that are cut off from workers; all nodes use
+ *     the same port
  * @param firstStart whether the deployment as a whole starts for the first time
  * @param seedHosts the IP addresses of some nodes, which may no longer exist
  * @param store the address of the store
@@ -23,6 +25,7 @@
         ListenAddress callers,
         ListenAddress readiness,
         ListenAddress peers,
+        ListenAddress detours,
         boolean firstStart,
         List<String> seedHosts,
         ListenAddress store,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
@@ -88,6 +88,16 @@
         });
     }
 
+    /** Another node has asked for the request to be let through. */
+    void letThroughElsewhere() {
+        tried.addAll(inForce());
+    }
+
+    /** Returns whether the quarantine has let the request through for this attempt. */
+    boolean letThrough() {
+        return !tried.isEmpty();
+    }
+
     /** Ends the permission of {@link #tryOnce}, which is for one attempt. */
     void endTry() {
         tried.clear();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -91,6 +91,10 @@
                 lastEventId);
     }
 
+    void sentThrough(String peer, String lastEventId) {
+        recordDecision(EventCode.REQUEST_DETOURED, "node_used", peer, "last_event", lastEventId);
+    }
+
     void inconclusive(String worker) {
         recordDecision(EventCode.FAILURE_INCONCLUSIVE, "worker", worker);
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -20,6 +20,7 @@
     private MismatchedResponseFilter filter;
     private HttpClientResponse response;
     private UpstreamResponseHeaders answer;
+    private boolean sending;
     private boolean ended;
 
     /**
@@ -118,6 +119,7 @@
         request.headers().addAll(message.headers());
         request.exceptionHandler(cause -> fail(broken(cause)));
         request.response().onSuccess(this::onResponse).onFailure(cause -> fail(broken(cause)));
+        sending = true;
         listener.onSending();
         if (message.body().length() == 0 && !message.headers().contains("Content-Length")) {
             request.end();
@@ -176,6 +178,11 @@
         }
     }
 
+    /** Returns whether a byte of the request may have been sent. */
+    boolean sending() {
+        return sending;
+    }
+
     private void close() {
         ended = true;
         if (connection != null) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * Pools the connections of this node to one worker. Idle connections are reused, the newest first, only as long as the
@@ -30,11 +31,21 @@
     private final HttpClientAgent client;
     private final HttpConnectOptions target;
     private final TimeSource time;
+    private final BooleanSupplier idleTrusted;
     private final Deque<Connection> idle = new ArrayDeque<>();
     /** An idle connection is reused only if its last response came after this time. */
     private long minLastResponseMillis = Long.MIN_VALUE;
 
-    WorkerConnections(HttpClientAgent client, String host, int port, TimeSource time) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param client opens connections
+     * @param host the IP address of the worker
+     * @param port the port of the worker
+     * @param time the clocks
+     * @param idleTrusted returns whether idle connections may be reused; otherwise one may be lost in silence
+     */
+    WorkerConnections(HttpClientAgent client, String host, int port, TimeSource time, BooleanSupplier idleTrusted) {
         this.client = client;
         this.target = new HttpConnectOptions()
                 .setHost(host)
@@ -42,6 +53,7 @@
                 .setSsl(false)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         this.time = time;
+        this.idleTrusted = idleTrusted;
     }
 
     /** One open connection, which carries one request at a time. */
@@ -102,9 +114,11 @@
      */
     Future<Connection> acquire() {
         long nowMillis = time.monotonicMillis();
+        boolean trusted = idleTrusted.getAsBoolean();
         while (!idle.isEmpty()) {
             Connection connection = idle.pop();
-            if (!connection.closed
+            if (trusted
+                    && !connection.closed
                     && nowMillis < connection.reusableUntilMillis
                     && connection.lastResponseMillis > minLastResponseMillis) {
                 return Future.succeededFuture(connection);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
@@ -11,6 +11,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -25,6 +28,9 @@
     /** How long an attempt may wait for its connection until the reach of its service is in doubt, in milliseconds. */
     private static final long SLOW_CONNECT_MILLIS = 100;
 
+    /** How long ago a connection may have been opened that shows that this node reaches workers, in milliseconds. */
+    private static final long VERIFIED_MILLIS = 100;
+
     private static final int SEVERAL = 5;
     private static final int AGAIN = 2;
 
@@ -32,11 +38,13 @@
     private final Function<String, List<UpstreamRecord>> workersOf;
     private final NetClient client;
     private final Map<String, Service> services = new HashMap<>();
+    private Consumer<String> onCutOff = service -> {};
 
     /** What is known about one service. */
     private static final class Service {
         private final String name;
         private final ServiceReach reach = new ServiceReach();
+        private final List<Runnable> waiting = new ArrayList<>();
         private final List<Held> held = new ArrayList<>();
         private boolean cutOff;
 
@@ -130,6 +138,48 @@
         return services.computeIfAbsent(name, Service::new);
     }
 
+    /** Sets what to call with the name of a service when this node no longer reaches any of its workers. */
+    void onCutOff(Consumer<String> value) {
+        this.onCutOff = value;
+    }
+
+    /** Returns whether a worker of any service has sent something or accepted a connection lately. */
+    boolean sawWorkerWithin(long spanMillis) {
+        long nowMillis = nowMillis();
+        return services.values().stream().anyMatch(service -> service.reach.sawWorkerWithin(spanMillis, nowMillis));
+    }
+
+    /** Runs a task as soon as it is not in doubt whether this node reaches the workers of a service, or at once. */
+    void whenKnown(String name, Runnable task) {
+        Service service = service(name);
+        if (service.reach.doubtful()) {
+            service.waiting.add(task);
+        } else {
+            task.run();
+        }
+    }
+
+    /**
+     * Opens a connection to a worker unless one was opened just now.
+     *
+     * @param name the name of the service
+     * @param suspectId the id of a worker that is not connected to if there is another, empty for none
+     * @return whether this node reaches a worker; never fails
+     */
+    CompletionStage<Boolean> verify(String name, String suspectId) {
+        Service service = service(name);
+        if (workersOf.apply(name).isEmpty()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        if (!service.reach.cutOff()) {
+            service.reach.failed(nowMillis() - VERIFIED_MILLIS);
+            check(service, suspectId);
+        }
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        whenKnown(name, () -> result.complete(!service.reach.cutOff()));
+        return result;
+    }
+
     /** Records that an attempt at a worker of a service begins. */
     Attempt begin(String service, String workerId) {
         return new Attempt(service(service), workerId);
@@ -231,6 +281,14 @@
                             service.name,
                             "workers",
                             workersOf.apply(service.name).size());
+            if (cutOff) {
+                onCutOff.accept(service.name);
+            }
+        }
+        if (!service.reach.doubtful()) {
+            List<Runnable> tasks = List.copyOf(service.waiting);
+            service.waiting.clear();
+            tasks.forEach(Runnable::run);
         }
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
@@ -8,7 +8,9 @@
 import io.lagoonseam.core.ratelimit.Permit;
 import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.entry.placement.Placement;
+import io.lagoonseam.wire.DetourMessages.Outcome;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** A worker that one attempt of a request goes to. */
 final class WorkerTarget implements AttemptTarget {
@@ -101,12 +103,22 @@
     }
 
     @Override
-    public double expectedMillis() {
-        return worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens);
+    public boolean isWorker() {
+        return true;
     }
 
     @Override
-    public void onHeaders(UpstreamResponseHeaders received, long sentMillis) {
+    public Optional<Outcome> told() {
+        return Optional.empty();
+    }
+
+    @Override
+    public OptionalDouble expectedMillis() {
+        return OptionalDouble.of(worker.firstEventTime().expectedMillis(tokensAhead + unreadTokens));
+    }
+
+    @Override
+    public void onHeaders(UpstreamResponseHeaders received, Optional<Outcome> told, long sentMillis) {
         reach.heard();
         received.load().ifPresent(load -> {
             worker.recordDirectLoad(load, time.monotonicMillis());
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
@@ -50,6 +50,7 @@
                 new ListenAddress("10.0.0.1", 1),
                 new ListenAddress("10.0.0.1", 2),
                 new ListenAddress("10.0.0.1", 3),
+                new ListenAddress("10.0.0.1", 5),
                 true,
                 List.of("10.0.0.2"),
                 new ListenAddress("10.9.0.1", 4),
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloaderTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloaderTest.java
@@ -27,6 +27,7 @@
                 new ListenAddress("10.0.0.1", callerPort),
                 new ListenAddress("10.0.0.1", 2),
                 new ListenAddress("10.0.0.1", 3),
+                new ListenAddress("10.0.0.1", 5),
                 true,
                 List.of(),
                 new ListenAddress("10.9.0.1", storePort),
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/link/CuttableLink.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/link/CuttableLink.java
@@ -45,16 +45,17 @@
     }
 
     /**
-     * Creates a link that listens on a free port.
+     * Creates a link that listens.
      *
      * @param host the IP address of the target, on which the link listens too
+     * @param port the port to listen on, which no other connection may occupy while the link is cut
      * @param targetPort the port of the target
      */
-    public CuttableLink(String host, int targetPort) {
+    public CuttableLink(String host, int port, int targetPort) {
         this.host = host;
+        this.port = port;
         this.targetPort = targetPort;
-        this.listener = bind(0, BACKLOG);
-        this.port = listener.getLocalPort();
+        this.listener = bind(BACKLOG);
         startAccepting(listener);
     }
 
@@ -67,26 +68,26 @@
         return port;
     }
 
-    private ServerSocket bind(int wanted, int backlog) {
+    private ServerSocket bind(int backlog) {
         for (int attempt = 1; attempt < MAX_BIND_ATTEMPTS; attempt++) {
             try {
-                return listen(wanted, backlog);
+                return listen(backlog);
             } catch (IOException e) {
                 // connections of the listener before may still be closing
                 pause();
             }
         }
         try {
-            return listen(wanted, backlog);
+            return listen(backlog);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    private ServerSocket listen(int wanted, int backlog) throws IOException {
+    private ServerSocket listen(int backlog) throws IOException {
         ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
-        socket.bind(new InetSocketAddress(host, wanted), backlog);
+        socket.bind(new InetSocketAddress(host, port), backlog);
         return socket;
     }
 
@@ -121,11 +122,11 @@
             backlogFillers.clear();
             switch (value) {
                 case NONE -> {
-                    listener = bind(port, BACKLOG);
+                    listener = bind(BACKLOG);
                     startAccepting(listener);
                 }
                 case SILENT -> {
-                    listener = bind(port, FULL_BACKLOG);
+                    listener = bind(FULL_BACKLOG);
                     fillBacklog();
                 }
                 case RESET -> {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -2,8 +2,8 @@
 
 /**
  * The numbers of message types. Numbers are never reused: 1 to 19 are for membership, 20 to 29 for operations, 30 to 39
- * for configuration, 40 to 49 for limits, 50 to 59 for routing, 70 to 79 for forwarding and 80 to 89 for the
- * quarantine. 60 to 69 were used by placement, which no longer exists.
+ * for configuration, 40 to 49 for limits, 50 to 59 for routing, 70 to 79 for forwarding, 80 to 89 for the quarantine
+ * and 90 to 99 for detours. 60 to 69 were used by placement, which no longer exists.
  */
 public final class MessageTypes {
 
@@ -96,5 +96,11 @@
      */
     public static final int QUARANTINE_TRY = 84;
 
+    /**
+     * Asks whether a node reaches the workers of a service: {@link DetourMessages.Ask}, answered by
+     * {@link DetourMessages.Answer}.
+     */
+    public static final int REACH_ASK = 90;
+
     private MessageTypes() {}
 }
