Take no worker for crashed that refuses a node which is cut off

What callers saw: nothing yet. At the five nodes of the incident, event 442 says 37 times that a worker crashed with requests in flight; none had. Four such reports under one part of a prompt put all requests with it into quarantine at all nodes (docs/decisions/0083).

Cause: a worker that refuses a new connection after its open ones ended counted as crashed. A cut may look like that for all workers of a node.

A refusal counts now only if another worker of the service accepts a connection of this node afterwards, or if no other node reaches the service either. CrashingRequestTest passes with 1, 8 and 11 nodes. The new cases of CutOffNodeTest (a second cut as the first one heals, all nodes cut off, a caller who leaves, the other node cut off or stopped) passed at their first run.

--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -223,4 +224,126 @@
             assertTrue(node.metrics(deployment.client()).contains("services.cut_off 0"), "the cut is over everywhere");
         }
     }
+
+    private String detourNode(String requestId) {
+        LocalDeployment.awaitThat(
+                "the request goes through another node",
+                () -> detoured(requestId).isPresent());
+        return detoured(requestId).get();
+    }
+
+    private Optional<String> detoured(String requestId) {
+        return events.stream()
+                .filter(event -> event.contains("REQUEST_DETOURED") && event.contains("\"" + requestId + "\""))
+                .map(event -> new JsonObject(event).getString("node_used"))
+                .findFirst();
+    }
+
+    private CompletableFuture<HttpResponse<String>> longStream(int node, String id) {
+        HttpRequest.Builder request = deployment.request(nodes.get(node), "/talk/x", id);
+        PlatformFixtures.promptHeaders("a", "b", 800).forEach(request::header);
+        return deployment.client().sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void cutOffForLong(int node, Cut cut) {
+        cut(node, node + 1, cut);
+        sendFor(CONTACT_MILLIS / 2);
+    }
+
+    @Test
+    public void aSecondCutAsTheFirstOneHealsIsFeltAsLittle() {
+        start(8);
+        long firstMillis = nowMillis();
+        cut(0, 4, Cut.SILENT);
+        sendFor(5_000);
+        long secondMillis = nowMillis();
+        cut(0, 4, Cut.NONE);
+        cut(4, 8, Cut.RESET);
+        sendFor(5_000);
+        long healedMillis = nowMillis();
+        cut(4, 8, Cut.NONE);
+        sendFor(CONTACT_MILLIS + 500);
+        assertServedAlike(firstMillis + CONTACT_MILLIS, secondMillis, 0, 4);
+        assertServedAlike(secondMillis + CONTACT_MILLIS, healedMillis, 4, 8);
+        assertServedAlike(healedMillis + CONTACT_MILLIS, Long.MAX_VALUE, 4, 8);
+        assertRunAsAnswered();
+    }
+
+    @Test
+    public void requestsAreRefusedAndDoNotRunWhileAllNodesAreCutOff() {
+        start(3);
+        cut(0, 3, Cut.RESET);
+        sendFor(CONTACT_MILLIS);
+        int before = sent.size();
+        sendFor(1_000);
+        for (Sent request : sent.subList(before, sent.size())) {
+            assertEquals(request.status(), 503, request.path());
+            assertTrue(
+                    request.answer().join().headers().firstValue("Retry-After").isPresent());
+        }
+        cut(0, 3, Cut.NONE);
+        sendFor(CONTACT_MILLIS);
+        int healed = sent.size();
+        sendFor(1_000);
+        assertEquals(servedShare(sent.subList(healed, sent.size())), 1.0);
+        assertRunAsAnswered();
+    }
+
+    @Test
+    public void aCallerWhoLeavesEndsTheWorkBehindTheOtherNode() {
+        start(2);
+        cutOffForLong(0, Cut.RESET);
+        sent.forEach(Sent::status);
+        CompletableFuture<HttpResponse<String>> stream = longStream(0, "leaves");
+        detourNode("leaves");
+        LocalDeployment.awaitThat(
+                "a worker works on it", () -> workers.stream().anyMatch(worker -> worker.openRequests() > 0));
+        stream.cancel(true);
+        long leftMillis = nowMillis();
+        LocalDeployment.awaitThat(
+                "no worker works on it", () -> workers.stream().allMatch(worker -> worker.openRequests() == 0));
+        assertTrue(nowMillis() - leftMillis <= 500, "the work ended after " + (nowMillis() - leftMillis) + " ms");
+    }
+
+    @DataProvider
+    public Object[][] secondCuts() {
+        return new Object[][] {{Cut.RESET}, {Cut.SILENT}};
+    }
+
+    @Test(dataProvider = "secondCuts")
+    public void aStreamGoesOnIfTheNodeThatItGoesThroughIsCutOffToo(Cut second) {
+        start(3);
+        cutOffForLong(0, Cut.RESET);
+        CompletableFuture<HttpResponse<String>> stream = longStream(0, "twice");
+        String through = detourNode("twice");
+        pause(200);
+        int cutNode = Integer.parseInt(through.substring(through.lastIndexOf('.') + 1, through.indexOf(':'))) - 1;
+        cut(cutNode, cutNode + 1, second);
+        String body = stream.join().body();
+        assertEquals(stream.join().statusCode(), 200);
+        assertTrue(
+                body.endsWith("id: 200\ndata: token 200 of twice\n\n"),
+                body.substring(Math.max(0, body.length() - 99)));
+        assertEquals(body.split("id: ").length, 201, "each event comes once");
+    }
+
+    @Test
+    public void aNodeThatIsStoppedFinishesTheRequestsOfOthers() {
+        start(3);
+        cutOffForLong(0, Cut.RESET);
+        CompletableFuture<HttpResponse<String>> stream = longStream(0, "stopped");
+        String through = detourNode("stopped");
+        int stopped = Integer.parseInt(through.substring(through.lastIndexOf('.') + 1, through.indexOf(':'))) - 1;
+        var ended = nodes.get(stopped).node().stop();
+        int before = sent.size();
+        for (int number = 0; number < 60; number++) {
+            send(0);
+            pause(REQUEST_INTERVAL_MILLIS);
+        }
+        String body = stream.join().body();
+        assertTrue(body.endsWith("id: 200\ndata: token 200 of stopped\n\n"));
+        assertEquals(servedShare(sent.subList(before, sent.size())), 1.0);
+        LocalDeployment.await(ended);
+        assertRunAsAnswered();
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CrashCheck.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CrashCheck.java
@@ -10,10 +10,14 @@
 import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 
 /**
  * Tells whether a worker crashed when an attempt at it broke off: one that has not announced its leaving refuses new
- * connections. A worker that was reset or cut off does not refuse them.
+ * connections. A worker that was reset or cut off does not refuse them, unless it is this node that is cut off: then
+ * all workers of the service refuse it, and another node reaches them.
  */
 final class CrashCheck {
 
@@ -24,12 +28,28 @@
 
     private final ForwardEnvironment environment;
     private final UpstreamDirectory directory;
+    private final WorkerReach reach;
+    private final Function<String, CompletionStage<Boolean>> reachedByOthers;
     private final NetClient client;
     private final Map<WorkerIncarnation, Future<Boolean>> running = new HashMap<>();
 
-    CrashCheck(ForwardEnvironment environment, UpstreamDirectory directory) {
+    /**
+     * Creates a check.
+     *
+     * @param environment the shared dependencies of the node
+     * @param directory the workers that are known
+     * @param reach knows whether this node reaches the workers of a service
+     * @param reachedByOthers tells of a service by name whether another node reaches its workers
+     */
+    CrashCheck(
+            ForwardEnvironment environment,
+            UpstreamDirectory directory,
+            WorkerReach reach,
+            Function<String, CompletionStage<Boolean>> reachedByOthers) {
         this.environment = environment;
         this.directory = directory;
+        this.reach = reach;
+        this.reachedByOthers = reachedByOthers;
         this.client =
                 environment.vertx().createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     }
@@ -55,7 +75,7 @@
                     socket.close();
                     return false;
                 })
-                .recover(cause -> Future.succeededFuture(refused(cause)));
+                .recover(cause -> refused(cause) ? notCutOff(worker) : Future.succeededFuture(false));
         running.put(incarnation, check);
         check.onSuccess(crashed -> {
             if (!crashed) {
@@ -71,6 +91,15 @@
         return check;
     }
 
+    /** Returns whether a worker that refuses connections does so since it crashed. */
+    private Future<Boolean> notCutOff(UpstreamRecord worker) {
+        return Future.fromCompletionStage(
+                reach.verify(worker.service(), worker.id(), environment.time().monotonicMillis())
+                        .thenCompose(reached -> reached
+                                ? CompletableFuture.completedFuture(true)
+                                : reachedByOthers.apply(worker.service()).thenApply(others -> !others)));
+    }
+
     private static boolean refused(Throwable cause) {
         return cause instanceof ConnectException
                 && String.valueOf(cause.getMessage()).contains("refused");
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -106,7 +106,11 @@
                 new AnswerBuffers<>(Math.round(ANSWER_MEMORY_SHARE * memoryMegabytes * (1 << 20)), MAX_ANSWER_BYTES);
         this.reach = new WorkerReach(environment, this::servingWorkers);
         reach.onCutOff(this::onCutOff);
-        this.crashCheck = new CrashCheck(environment, directory);
+        this.crashCheck = new CrashCheck(
+                environment,
+                directory,
+                reach,
+                service -> detours.find(service, Set.of()).thenApply(Optional::isPresent));
         this.announcements = new WorkerAnnouncements(environment, directory, this::refresh);
         this.plainChooser =
                 new LeastLoadedChooser(Rendezvous.hash(environment.settings().nodeName()));
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -262,7 +262,7 @@
                 nodes::others,
                 service -> detourServer.stopping()
                         ? CompletableFuture.completedFuture(false)
-                        : dispatcher.reach().verify(service, ""),
+                        : dispatcher.reach().verify(service),
                 detourServer::inFlight));
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
@@ -160,19 +160,27 @@
     }
 
     /**
-     * Opens a connection to a worker unless one was opened just now.
+     * Tells for another node whether this one reaches a worker of a service, by a connection that was opened just now.
+     */
+    CompletionStage<Boolean> verify(String name) {
+        return verify(name, "", nowMillis() - VERIFIED_MILLIS);
+    }
+
+    /**
+     * Opens a connection to a worker unless one has been opened since a point in time.
      *
      * @param name the name of the service
      * @param suspectId the id of a worker that is not connected to if there is another, empty for none
+     * @param sinceMillis the point in time, on the monotonic clock, in milliseconds
      * @return whether this node reaches a worker; never fails
      */
-    CompletionStage<Boolean> verify(String name, String suspectId) {
+    CompletionStage<Boolean> verify(String name, String suspectId, long sinceMillis) {
         Service service = service(name);
         if (workersOf.apply(name).isEmpty()) {
             return CompletableFuture.completedFuture(false);
         }
         if (!service.reach.cutOff()) {
-            service.reach.failed(nowMillis() - VERIFIED_MILLIS);
+            service.reach.failed(sinceMillis);
             check(service, suspectId);
         }
         CompletableFuture<Boolean> result = new CompletableFuture<>();
