Trust no idle connection while no worker has been heard for a second

What callers saw: a payment at a node without other traffic, later than contact_ms after it was cut off in silence, hung until its deadline (504).

Cause: an idle connection may be reused for most of the keep-alive time of its worker, some seconds, and what is written to it then cannot be repeated.

If no worker of any service has sent something or accepted a connection for a second, a new connection is opened, which shows whether there is a way. The test failed before (504), and passes.

--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
@@ -250,6 +250,29 @@
         sendFor(CONTACT_MILLIS / 2);
     }
 
+    /** Its connections to workers were idle when they were cut, and may still be reused by their age. */
+    @Test
+    public void aPaymentAtAnIdleNodeThatWasCutOffInSilenceIsServed() {
+        start(2);
+        send(0);
+        sent.get(sent.size() - 1).status();
+        for (int number = 0; number < 4; number++) {
+            pay(0, "warm" + number).join();
+        }
+        cut(0, 1, Cut.SILENT);
+        pause(CONTACT_MILLIS);
+        assertEquals(pay(0, "late").join().statusCode(), 200);
+        assertRunAsAnswered();
+    }
+
+    private CompletableFuture<HttpResponse<String>> pay(int node, String id) {
+        HttpRequest request = deployment
+                .request(nodes.get(node), "/pay/x", id)
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build();
+        return deployment.client().sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     @Test
     public void aSecondCutAsTheFirstOneHealsIsFeltAsLittle() {
         start(8);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -63,6 +63,12 @@
      */
     private static final long ASSUMED_CACHE_MILLIS = 8_000;
 
+    /**
+     * How long no worker may have been heard until this node no longer trusts idle connections to workers, in
+     * milliseconds: what is sent on one may be lost in silence.
+     */
+    private static final long IDLE_TRUSTED_MILLIS = 1_000;
+
     /** The share of the memory of a node that answers may occupy until they are forwarded. */
     private static final double ANSWER_MEMORY_SHARE = 0.05;
 
@@ -332,7 +338,10 @@
         UpstreamState state = service.newState(record);
         state.cachedSegments().presumeAllCached(assumedUntilMillis);
         workers.put(record.id(), state);
-        connections.put(record.id(), new WorkerConnections(client, record.host(), record.port(), time, () -> true));
+        connections.put(
+                record.id(),
+                new WorkerConnections(
+                        client, record.host(), record.port(), time, () -> reach.sawWorkerWithin(IDLE_TRUSTED_MILLIS)));
     }
 
     /** Returns what applies the announcements of workers and of peers about them. */
