Keep asking for nodes while answers are lost

A lost answer held up the next round for its timeout, and dropped the node that had not answered though an older answer still held.

Rounds overlap now, only an answer that says so drops a node, and the time until requests are told that there is none is counted from the first question in vain.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/detour/DetourExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/detour/DetourExchange.java
@@ -43,8 +43,13 @@
     /** How long a service is asked about after its last request, in milliseconds. */
     private static final long ASKED_FOR_MILLIS = 2_000;
 
-    /** The number of rounds in a row without a node after which requests that wait are told that there is none. */
-    private static final int ROUNDS_UNTIL_NONE = 2;
+    /** How long is asked in vain until requests are told that there is no node, in milliseconds: two rounds. */
+    private static final long MAX_SEARCH_MILLIS = 500;
+
+    /** How long requests are told so without asking once all nodes have answered, in milliseconds. */
+    private static final long ALL_CUT_OFF_MILLIS = 250;
+
+    private static final long NOT_SEARCHING = Long.MAX_VALUE;
 
     private final Environment environment;
     private final Map<String, Service> services = new HashMap<>();
@@ -80,12 +85,20 @@
         private final Set<String> named = new LinkedHashSet<>();
         private long usedMillis;
         private int unanswered;
-        private int failedRounds;
+        private long searchingSinceMillis = NOT_SEARCHING;
+        private long noneUntilMillis;
+        private boolean askedAll;
         private boolean askedNamed;
 
         Service(String name) {
             this.name = name;
         }
+
+        boolean noneAt(long nowMillis) {
+            boolean inVain =
+                    searchingSinceMillis != NOT_SEARCHING && nowMillis - searchingSinceMillis >= MAX_SEARCH_MILLIS;
+            return inVain || nowMillis < noneUntilMillis;
+        }
     }
 
     private record Waiting(Set<String> excluded, CompletableFuture<Optional<String>> found) {}
@@ -134,7 +147,7 @@
         if (known.isPresent()) {
             return CompletableFuture.completedFuture(known);
         }
-        if (service.failedRounds >= ROUNDS_UNTIL_NONE) {
+        if (service.noneAt(nowMillis())) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
         Waiting waiting = new Waiting(Set.copyOf(excluded), new CompletableFuture<>());
@@ -167,19 +180,26 @@
                         && nowMillis - entry.getValue().usedMillis > ASKED_FOR_MILLIS);
         for (Service service : List.copyOf(services.values())) {
             service.askedNamed = false;
-            if (service.unanswered == 0) {
-                ask(service);
+            if (service.noneAt(nowMillis)) {
+                endWaiting(service);
             }
+            ask(service);
         }
     }
 
     private void ask(Service service) {
         Set<String> asked = selectAsked(service);
+        service.askedAll =
+                asked.size() == Set.copyOf(environment.others().get()).size();
         if (asked.isEmpty()) {
-            onRoundEnded(service);
+            endWaiting(service);
             return;
         }
-        service.unanswered = asked.size();
+        if (service.searchingSinceMillis == NOT_SEARCHING
+                && service.peers.valid(nowMillis()).isEmpty()) {
+            service.searchingSinceMillis = nowMillis();
+        }
+        service.unanswered += asked.size();
         byte[] question = new Ask(service.name).encode();
         for (String peer : asked) {
             environment
@@ -215,18 +235,18 @@
         Optional<Answer> answer = decode(reply);
         if (answer.isPresent() && answer.get().reached()) {
             service.peers.reaches(peer, answer.get().inFlight(), nowMillis());
-            service.failedRounds = 0;
+            service.searchingSinceMillis = NOT_SEARCHING;
             serve(service);
-        } else {
+        } else if (answer.isPresent()) {
             service.peers.remove(peer);
-            answer.ifPresent(from -> from.others().stream()
+            answer.get().others().stream()
                     .filter(other -> !other.equals(environment.ownId()))
                     .limit(MAX_NAMED)
-                    .forEach(service.named::add));
+                    .forEach(service.named::add);
         }
         service.unanswered--;
-        if (service.unanswered == 0) {
-            onRoundEnded(service);
+        if (service.unanswered == 0 && service.peers.valid(nowMillis()).isEmpty()) {
+            onNoneFound(service);
         }
     }
 
@@ -252,19 +272,12 @@
         }
     }
 
-    private void onRoundEnded(Service service) {
-        if (!service.peers.valid(nowMillis()).isEmpty()) {
-            service.failedRounds = 0;
-            endWaiting(service);
-            return;
-        }
+    private void onNoneFound(Service service) {
         if (!service.named.isEmpty() && !service.askedNamed) {
             service.askedNamed = true;
             ask(service);
-            return;
-        }
-        service.failedRounds++;
-        if (service.failedRounds >= ROUNDS_UNTIL_NONE) {
+        } else if (service.askedAll) {
+            service.noneUntilMillis = nowMillis() + ALL_CUT_OFF_MILLIS;
             endWaiting(service);
         }
     }
