Answer for other nodes by what workers sent lately, without a new connection each time

A node that is asked whether it reaches workers opened a connection each 100 ms, for each service. It now relies on what a worker sent or accepted within 500 ms.

--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerReach.java
@@ -28,8 +28,8 @@
     /** How long an attempt may wait for its connection until the reach of its service is in doubt, in milliseconds. */
     private static final long SLOW_CONNECT_MILLIS = 100;
 
-    /** How long ago a connection may have been opened that shows that this node reaches workers, in milliseconds. */
-    private static final long VERIFIED_MILLIS = 100;
+    /** How long ago a worker may have been heard for another node to rely on it, in milliseconds. */
+    private static final long SEEN_MILLIS = 500;
 
     private static final int SEVERAL = 5;
     private static final int AGAIN = 2;
@@ -159,11 +159,14 @@
         }
     }
 
-    /**
-     * Tells for another node whether this one reaches a worker of a service, by a connection that was opened just now.
-     */
+    /** Tells for another node whether this one reaches a worker of a service; never fails. */
     CompletionStage<Boolean> verify(String name) {
-        return verify(name, "", nowMillis() - VERIFIED_MILLIS);
+        ServiceReach reach = service(name).reach;
+        boolean seen = reach.sawWorkerWithin(SEEN_MILLIS, nowMillis())
+                && !workersOf.apply(name).isEmpty();
+        return seen && !reach.cutOff() && !reach.doubtful()
+                ? CompletableFuture.completedFuture(true)
+                : verify(name, "", nowMillis());
     }
 
     /**
