Probe an ejected worker again whose probe had no outcome

Found while reading what a node that is cut off leaves behind. A half-open probe whose caller leaves, or whose node draws no conclusion from its failure, was awaited for ever: the worker got no request again as long as the service had another. After 5.6 s the next request is a probe. The test failed before.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/OutlierDetector.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/OutlierDetector.java
@@ -32,6 +32,12 @@
     /** The maximum ejection backoff, in milliseconds. */
     private static final long MAX_BACKOFF_MILLIS = 2_800;
 
+    /**
+     * How long a half-open probe may have no outcome until the next one, in milliseconds: its caller may have left, or
+     * its node may be cut off.
+     */
+    private static final long MAX_PROBE_MILLIS = 2 * MAX_BACKOFF_MILLIS;
+
     private double outcomes;
     private double failures;
     private int consecutiveUnresponsive;
@@ -39,6 +45,8 @@
     private long probeAtMillis = Long.MIN_VALUE;
     private boolean ejected;
     private boolean probing;
+    private long probeSentMillis;
+    private long checkedMillis;
 
     /** The outcome of an attempt, as evidence of the worker's health. */
     public enum Outcome {
@@ -56,10 +64,13 @@
      * Returns whether the worker may get a request.
      *
      * @param nowMillis the current time, in milliseconds
-     * @return false while the worker is ejected, unless a half-open probe is due and none is running
+     * @return false while the worker is ejected, unless a half-open probe is due and none is running, or the one that
+     *     is has had no outcome for long
      */
     public boolean acceptsRequests(long nowMillis) {
-        return !ejected || nowMillis >= probeAtMillis && !probing;
+        checkedMillis = nowMillis;
+        boolean probeLost = nowMillis - probeSentMillis >= MAX_PROBE_MILLIS;
+        return !ejected || nowMillis >= probeAtMillis && (!probing || probeLost);
     }
 
     /**
@@ -71,10 +82,14 @@
         return ejected;
     }
 
-    /** Records that a request has been sent, which is the half-open probe if the worker is ejected. */
+    /**
+     * Records that a request is sent after {@link #acceptsRequests} was asked, which is the half-open probe if the
+     * worker is ejected.
+     */
     public void requestSent() {
         if (ejected) {
             probing = true;
+            probeSentMillis = checkedMillis;
         }
     }
 
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/OutlierDetectorTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/OutlierDetectorTest.java
@@ -53,6 +53,21 @@
         assertFalse(detector.ejected());
     }
 
+    @Test
+    public void aProbeWhoseCallerLeavesIsFollowedByAnotherOne() {
+        OutlierDetector detector = new OutlierDetector();
+        detector.observe(OutlierDetector.Outcome.SILENT, 0, HEALTHY);
+        detector.observe(OutlierDetector.Outcome.SILENT, 10, HEALTHY);
+        assertTrue(detector.acceptsRequests(2_000));
+        detector.requestSent();
+        assertFalse(detector.acceptsRequests(7_000));
+        assertTrue(detector.acceptsRequests(8_000));
+        detector.requestSent();
+        assertFalse(detector.acceptsRequests(8_001), "one at a time");
+        detector.observe(OutlierDetector.Outcome.ANSWERED, 8_050, HEALTHY);
+        assertFalse(detector.ejected());
+    }
+
     @Test
     public void eachFailedProbeExtendsTheBackoff() {
         OutlierDetector detector = new OutlierDetector();
