--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/quarantine/QuarantineExchange.java
@@ -555,7 +555,8 @@
         CrashHistory history = quarantine.get(suspect);
         long nowMillis = nowMillis();
         boolean ambiguous = asked.alone() && quarantine.ambiguous(suspect);
-        boolean allowed = synced && history.mayTry(asked.caller(), ambiguous, nowMillis);
+        boolean known = !history.crashes().isEmpty();
+        boolean allowed = synced && known && history.mayTry(asked.caller(), ambiguous, nowMillis);
         if (allowed && change(suspect, history.withTrial(newId(), nowMillis))) {
             tellAll(List.of(suspect));
         }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/QuarantineExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/quarantine/QuarantineExchangeTest.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.quarantine;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import io.lagoonseam.core.peer.PeerHandler;
 import io.lagoonseam.core.peer.PeerReply;
@@ -9,6 +10,8 @@
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
 import io.lagoonseam.core.time.ManualTimeSource;
 import io.lagoonseam.wire.MessageTypes;
+import io.lagoonseam.wire.QuarantineMessages.Decision;
+import io.lagoonseam.wire.QuarantineMessages.Try;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -86,4 +89,14 @@
         advance(1_000);
         assertEquals(exchange.inForce(Set.of(PART)), Set.of(PART));
     }
+
+    @Test
+    public void aNodeThatDoesNotKnowASuspectLetsNoRequestThrough() {
+        exchange.tick();
+        byte[] answer = handlers.get(MessageTypes.QUARANTINE_TRY)
+                .handle("other1", new Try(PART, CALLER, true).encode())
+                .toCompletableFuture()
+                .join();
+        assertFalse(Decision.decode(answer).allowed());
+    }
 }
