--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/CutOffNodeTest.java
@@ -8,6 +8,7 @@
 import io.lagoonseam.standin.worker.WorkerOptions;
 import io.lagoonseam.standin.worker.WorkerStandIn;
 import io.vertx.core.json.JsonObject;
+import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
@@ -369,4 +370,25 @@
         LocalDeployment.await(ended);
         assertRunAsAnswered();
     }
+
+    @Test
+    public void aNodeRejectsRequestsOfOthersThatItCannotRead() throws Exception {
+        start(1);
+        var address = nodes.get(0).settings().detours();
+        URI uri = URI.create("http://" + address.host() + ":" + address.port() + "/read/x");
+        for (String terms : List.of("", "AAAA", "no base64!")) {
+            HttpRequest.Builder request = HttpRequest.newBuilder(uri);
+            if (!terms.isEmpty()) {
+                request.header("Lagoonseam-Detour", terms);
+            }
+            assertEquals(deployment.send(request.build()).statusCode(), 400, terms);
+        }
+        HttpRequest ofCaller = deployment
+                .request(nodes.get(0), "/read/x", "caller")
+                .header("Lagoonseam-Detour", "AAAA")
+                .build();
+        HttpResponse<String> answer = deployment.send(ofCaller);
+        assertEquals(answer.statusCode(), 200);
+        assertTrue(answer.headers().firstValue("Lagoonseam-Detour").isEmpty());
+    }
 }
