--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeLinks.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeLinks.java
@@ -52,10 +52,6 @@
 
     synchronized void cut(CuttableLink.Cut value) {
         cut = value;
-        if (value == CuttableLink.Cut.RESET) {
-            // all links fail at the same moment
-            links.values().forEach(link -> link.cut(CuttableLink.Cut.REFUSE));
-        }
         links.values().forEach(link -> link.cut(value));
     }
 
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StopUnderLoadTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/StopUnderLoadTest.java
@@ -23,13 +23,12 @@
 
     private static final int CALLERS = 12;
 
-    private final Queue<String> events = new ConcurrentLinkedQueue<>();
     private LocalDeployment deployment;
     private LocalDeployment.Node node;
 
     @BeforeMethod
     public void start() {
-        deployment = new LocalDeployment(events::add);
+        deployment = new LocalDeployment(event -> {});
         deployment.startWorker("app", WorkerOptions.plain("p1"));
         deployment.startWorker("app", WorkerOptions.plain("p2"));
         deployment.configure();
@@ -55,12 +54,11 @@
     @Test
     public void everyRequestOnAnOpenConnectionIsAnsweredUntilItsEndIsAnnounced() throws Exception {
         Queue<String> cutOff = new ConcurrentLinkedQueue<>();
-        Queue<String> reset = new ConcurrentLinkedQueue<>();
         AtomicInteger answered = new AtomicInteger();
         List<Thread> threads = new ArrayList<>();
         for (int index = 0; index < CALLERS; index++) {
             String name = "c" + index;
-            Thread thread = new Thread(() -> callUntilGone(name, cutOff, reset, answered));
+            Thread thread = new Thread(() -> callUntilGone(name, cutOff, answered));
             thread.start();
             threads.add(thread);
         }
@@ -71,25 +69,19 @@
         }
         LocalDeployment.await(exited);
         assertTrue(answered.get() > CALLERS, answered + " requests answered");
-        // what has not been accepted is reset with the listener, and the node must not have read it
-        List<String> read = reset.stream()
-                .filter(id -> events.stream().anyMatch(event -> event.contains("\"" + id + "\"")))
-                .toList();
-        assertEquals(read, List.of(), "read on a new connection and not answered");
         assertEquals(List.copyOf(cutOff), List.of(), "cut off without an answer, of " + answered);
     }
 
-    private void callUntilGone(String name, Queue<String> cutOff, Queue<String> reset, AtomicInteger answered) {
+    private void callUntilGone(String name, Queue<String> cutOff, AtomicInteger answered) {
         try (KeptConnection caller = new KeptConnection(
                 LocalDeployment.HOST, node.settings().callers().port())) {
             for (int number = 0; caller.connect(); number++) {
-                boolean fresh = caller.fresh();
                 Optional<KeptConnection.Answer> answer = caller.send(
                         "POST /pay/x", PlatformFixtures.callerHeaders(LocalDeployment.KEY, name + "-" + number));
                 if (answer.isPresent()) {
                     answered.incrementAndGet();
                 } else {
-                    (fresh ? reset : cutOff).add(name + "-" + number);
+                    cutOff.add(name + "-" + number);
                 }
             }
         }
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/WorkerRateLimitTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/WorkerRateLimitTest.java
@@ -14,7 +14,6 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
@@ -31,9 +30,6 @@
     private static final long LOAD_MILLIS = 14_000;
     private static final long REQUEST_INTERVAL_MILLIS = 12;
 
-    /** The slots of the one plain worker without a limit, which serves what the other one may not. */
-    private static final int SLOTS = 6;
-
     private final Queue<String> events = new ConcurrentLinkedQueue<>();
     private LocalDeployment deployment;
 
@@ -61,11 +57,8 @@
         engine.setFaults(new JsonObject().put("limitPerSecond", "2"));
         long namedMillis = nowMillis();
         List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
-        Semaphore unanswered = new Semaphore(SLOTS);
         for (int number = 0; nowMillis() < namedMillis + LOAD_MILLIS; number++) {
-            unanswered.acquire();
-            answers.add(send(nodes.get(number % nodeCount), number)
-                    .whenComplete((answer, failure) -> unanswered.release()));
+            answers.add(send(nodes.get(number % nodeCount), number));
             Thread.sleep(REQUEST_INTERVAL_MILLIS);
         }
         for (CompletableFuture<HttpResponse<String>> answer : answers) {
