--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -327,6 +327,7 @@
         private final Map<String, TreeMap<String, Entry>> kinds = new TreeMap<>();
         private final List<Change> history = new ArrayList<>();
         private final List<Socket> open = new ArrayList<>();
+        private final List<Socket> lost = new ArrayList<>();
         private final String host;
         final int port;
         private long revision = 100;
@@ -355,6 +356,16 @@
             }
         }
 
+        /** From now on nothing comes through on the channels that are open, and no end of them is seen; new ones work. */
+        synchronized int silenceOpenChannels() {
+            lost.addAll(open);
+            return open.size();
+        }
+
+        private synchronized boolean isLost(Socket socket) {
+            return lost.contains(socket);
+        }
+
         private void channel(Socket socket, InputStream in, OutputStream out) throws IOException {
             synchronized (this) {
                 if (mode == Mode.RESET) {
@@ -364,10 +375,13 @@
                 open.add(socket);
             }
             for (Message call = read(in, false); call != null; call = read(in, false)) {
+                if (isLost(socket)) {
+                    continue;
+                }
                 calls++;
                 sleep(answerMillis);
                 String answer = answer(call);
-                if (answer == null) {
+                if (answer == null || isLost(socket)) {
                     // received by a store that is silent: this channel returns nothing further
                     while (in.read() >= 0) {
                         continue;
