--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -45,6 +45,26 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::stopAll));
     }
 
+    /** What a case does. */
+    interface Case {
+        void run(Harness harness) throws Exception;
+    }
+
+    /** Runs a case; its arguments are the root of the repository and the file for the record. */
+    static void play(String[] arguments, Case played) {
+        Harness harness = null;
+        try {
+            harness = new Harness(Path.of(arguments[0]), Path.of(arguments[1]));
+            played.run(harness);
+        } catch (Throwable e) {
+            if (harness == null) {
+                System.out.println("the case could not run: " + e);
+                Runtime.getRuntime().halt(2);
+            }
+            harness.end(2, "the case could not run: " + e);
+        }
+    }
+
     static boolean trouble() {
         return !"0".equals(System.getenv("TROUBLE"));
     }
@@ -645,7 +665,7 @@
 
         void signal(String signal) throws IOException, InterruptedException {
             log(name + " gets SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
 
         boolean isReady() {
