--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -283,7 +283,14 @@
             String collection,
             CollectionFollower.Listener listener,
             CollectionFollower.Options options) {
-        return new CollectionFollower(environment.vertx(), store, collection, listener, environment.random(), options);
+        Vertx vertx = environment.vertx();
+        return new CollectionFollower(
+                (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
+                store,
+                collection,
+                listener,
+                environment.random(),
+                options);
     }
 
     /** Applies changed settings. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -1,6 +1,6 @@
 package io.lagoonseam.entry.store;
 
-import io.vertx.core.Vertx;
+import io.lagoonseam.core.time.Timers;
 import java.util.List;
 import java.util.Random;
 import java.util.function.LongSupplier;
@@ -50,7 +50,7 @@
     /** The maximum number of pending calls for the first listing. */
     private static final int MAX_CONCURRENT_LISTINGS = 5;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final CollectionStore store;
     private final String collection;
     private final Listener listener;
@@ -58,7 +58,6 @@
     private final Options options;
     private long revision = -1;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
-    private int pendingListings;
     /** Whether the last listing may have been stale and no watch has succeeded since. */
     private boolean staleListing;
 
@@ -73,6 +72,22 @@
     public record Options(
             LongSupplier longPollTimeoutMillis, LongSupplier gatherMillis, boolean firstListingMayBeStale) {}
 
+    /**
+     * One or more calls for the same listing. It ends with the first call that succeeds, or with a retry once all calls
+     * have failed; a call that returns later has no effect. While no listing is in progress, a watch or a timer is
+     * pending.
+     */
+    private static final class Listing {
+
+        private final boolean mayBeStale;
+        private int pendingCalls;
+        private boolean ended;
+
+        Listing(boolean mayBeStale) {
+            this.mayBeStale = mayBeStale;
+        }
+    }
+
     /** Receives the objects of the collection and the results of calls to the store. */
     public interface Listener {
 
@@ -106,7 +121,7 @@
     /**
      * Creates a follower that is not started.
      *
-     * @param vertx the Vert.x instance whose event loop runs the timers
+     * @param timers runs tasks later, on the event loop of the follower
      * @param store the store to list and watch
      * @param collection the name of the collection
      * @param listener receives the objects and the results of calls
@@ -114,8 +129,13 @@
      * @param options how the collection is followed
      */
     public CollectionFollower(
-            Vertx vertx, CollectionStore store, String collection, Listener listener, Random random, Options options) {
-        this.vertx = vertx;
+            Timers timers,
+            CollectionStore store,
+            String collection,
+            Listener listener,
+            Random random,
+            Options options) {
+        this.timers = timers;
         this.store = store;
         this.collection = collection;
         this.listener = listener;
@@ -137,42 +157,51 @@
     }
 
     private void list(boolean mayBeStale) {
-        pendingListings++;
-        boolean first = !hasListing();
-        store.list(collection, mayBeStale).onSuccess(result -> onListed(result, first, mayBeStale));
-        if (first) {
-            vertx.setTimer(FIRST_LISTING_RETRY_MILLIS, timer -> {
-                if (!hasListing() && pendingListings > 0 && pendingListings < MAX_CONCURRENT_LISTINGS) {
-                    list();
+        requestListing(new Listing(mayBeStale));
+    }
+
+    private void requestListing(Listing listing) {
+        listing.pendingCalls++;
+        store.list(collection, listing.mayBeStale).onSuccess(result -> onListed(listing, result));
+        if (!hasListing()) {
+            timers.schedule(FIRST_LISTING_RETRY_MILLIS, () -> {
+                if (!listing.ended && listing.pendingCalls < MAX_CONCURRENT_LISTINGS) {
+                    requestListing(listing);
                 }
             });
         }
     }
 
-    private void onListed(StoreResult result, boolean first, boolean mayBeStale) {
-        pendingListings--;
-        if (first && hasListing()) {
+    private void onListed(Listing listing, StoreResult result) {
+        listing.pendingCalls--;
+        if (listing.ended) {
             return;
         }
-        if (result instanceof StoreResult.Objects listing) {
-            if (listing.revision() < revision && mayBeStale) {
-                list();
-                return;
-            }
-            if (StoreRevision.era(listing.revision()) < StoreRevision.era(revision)) {
-                scheduleRetry("the listing is of an earlier era of the store", this::list);
-                return;
-            }
-            onSuccess();
-            staleListing = mayBeStale;
-            revision = listing.revision();
-            listener.listed(listing.objects(), listing.revision());
-            watch();
-        } else if (pendingListings == 0) {
+        if (result instanceof StoreResult.Objects objects) {
+            listing.ended = true;
+            onObjects(objects, listing.mayBeStale);
+        } else if (listing.pendingCalls == 0) {
+            listing.ended = true;
             scheduleRetry(String.valueOf(result), this::list);
         }
     }
 
+    private void onObjects(StoreResult.Objects objects, boolean mayBeStale) {
+        if (objects.revision() < revision && mayBeStale) {
+            list();
+            return;
+        }
+        if (StoreRevision.era(objects.revision()) < StoreRevision.era(revision)) {
+            scheduleRetry("the listing is of an earlier era of the store", this::list);
+            return;
+        }
+        onSuccess();
+        staleListing = mayBeStale;
+        revision = objects.revision();
+        listener.listed(objects.objects(), objects.revision());
+        watch();
+    }
+
     private void watch() {
         store.watch(collection, revision, options.longPollTimeoutMillis().getAsLong())
                 .onSuccess(this::onChanged);
@@ -192,7 +221,7 @@
             if (changes.objects().isEmpty()) {
                 watch();
             } else {
-                vertx.setTimer(Math.max(1, options.gatherMillis().getAsLong()), timer -> watch());
+                timers.schedule(Math.max(1, options.gatherMillis().getAsLong()), this::watch);
             }
         } else if (result instanceof StoreResult.HistoryGone) {
             // a stale listing is enough unless its own revision is gone too
@@ -212,6 +241,6 @@
         long delayMillis = Math.round(backoffMillis * (0.5 + random.nextDouble()));
         backoffMillis =
                 Math.min(2 * backoffMillis, hasListing() ? MAX_BACKOFF_MILLIS : MAX_FIRST_LISTING_BACKOFF_MILLIS);
-        vertx.setTimer(Math.max(1, delayMillis), timer -> next.run());
+        timers.schedule(Math.max(1, delayMillis), next);
     }
 }
--- /dev/null
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/CollectionFollowerTest.java
@@ -0,0 +1,117 @@
+package io.lagoonseam.entry.store;
+
+import static org.testng.Assert.assertEquals;
+
+import io.lagoonseam.entry.configuration.fleet.VirtualTime;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Tests, in virtual time, that a follower learns of changes in time after any sequence of faults of the store. */
+public class CollectionFollowerTest {
+
+    /** The time after a fault from which a node has to be in touch with the store again, in milliseconds. */
+    private static final long CONTACT_MILLIS = 3_000;
+
+    /** The time within which a change has to be known to a node in touch, in milliseconds. */
+    private static final long APPLY_MILLIS = 2_000;
+
+    /** The time after which a watch has ended that the store never answers, in milliseconds. */
+    private static final long WATCH_END_MILLIS =
+            WatchPolicy.longPollTimeoutMillis(1) + FaultyCollection.CALL_TIMEOUT_MILLIS + CONTACT_MILLIS;
+
+    private static final class Following implements CollectionFollower.Listener {
+
+        private final VirtualTime time = new VirtualTime();
+        private final FaultyCollection store = new FaultyCollection(time);
+        private final CollectionFollower follower;
+        private long known = -1;
+
+        Following(long seed) {
+            follower = new CollectionFollower(
+                    time,
+                    store,
+                    CollectionStore.CONFIGURATION,
+                    this,
+                    new Random(seed),
+                    new CollectionFollower.Options(() -> WatchPolicy.longPollTimeoutMillis(1), () -> 5L, false));
+        }
+
+        void run(FaultyCollection.Mode mode, long millis) {
+            store.mode(mode);
+            time.runFor(millis);
+        }
+
+        @Override
+        public void listed(List<CollectionObject> objects, long revision) {
+            known = revision;
+        }
+
+        @Override
+        public void changed(List<CollectionObject> objects, long revision) {
+            known = revision;
+        }
+
+        @Override
+        public void failed(String reason) {
+            // calls may fail
+        }
+
+        @Override
+        public void succeeded() {
+            // listed and changed tell more
+        }
+    }
+
+    private static void assertFollows(Following following, String message) {
+        for (int change = 1; change <= 3; change++) {
+            following.store.change();
+            following.time.runFor(APPLY_MILLIS);
+            assertEquals(following.known, following.store.revision(), message + ", change " + change);
+        }
+    }
+
+    /** Guards against a follower that waits for calls of an earlier listing and never calls again (review, case 2). */
+    @Test
+    public void followsAfterAStoreThatWasSilentAtTheStartAndFailsOnceMore() {
+        for (FaultyCollection.Mode second : List.of(FaultyCollection.Mode.BUSY, FaultyCollection.Mode.RESET)) {
+            for (long servingMillis = 50; servingMillis <= 1_200; servingMillis += 50) {
+                Following following = new Following(servingMillis);
+                following.store.mode(FaultyCollection.Mode.SILENT);
+                following.follower.start();
+                following.time.runFor(3_000);
+                following.run(FaultyCollection.Mode.UP, servingMillis);
+                following.store.change();
+                following.run(second, 1_000);
+                following.run(FaultyCollection.Mode.UP, CONTACT_MILLIS);
+                assertFollows(following, "serving for " + servingMillis + " ms, then " + second);
+            }
+        }
+    }
+
+    @Test
+    public void followsAfterAnySequenceOfFaults() {
+        FaultyCollection.Mode[] modes = FaultyCollection.Mode.values();
+        for (long seed = 1; seed <= 2_000; seed++) {
+            Random random = new Random(seed);
+            Following following = new Following(seed);
+            int start = random.nextInt(4);
+            int phases = 3 + random.nextInt(8);
+            for (int phase = 0; phase < phases; phase++) {
+                following.store.mode(modes[random.nextInt(modes.length)]);
+                if (phase == start) {
+                    following.follower.start();
+                }
+                if (random.nextBoolean()) {
+                    following.store.change();
+                }
+                following.time.runFor(1 + random.nextInt(3_000));
+            }
+            if (start >= phases) {
+                following.follower.start();
+            }
+            following.run(FaultyCollection.Mode.UP, WATCH_END_MILLIS);
+            assertFollows(following, "seed " + seed);
+        }
+    }
+}
