--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/RawWorkerTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/RawWorkerTest.java
@@ -17,6 +17,9 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -383,4 +386,40 @@
             Thread.sleep(number % 7);
         }
     }
+
+    private static String rejection(String id) {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + id
+                + "\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    /**
+     * Guards against a late second copy of a rejection that counts as the answer of the next attempt (review, case 1).
+     */
+    @Test
+    public void secondCopyOfARejectionIsNotTakenForTheAnswerOfTheNextAttempt() throws Exception {
+        Map<NetSocket, String> copies = new ConcurrentHashMap<>();
+        Map<String, Integer> runs = new ConcurrentHashMap<>();
+        Set<String> rejected = ConcurrentHashMap.newKeySet();
+        startWorker((socket, id) -> {
+            String copy = copies.getOrDefault(socket, "");
+            copies.remove(socket);
+            if (id.startsWith("m") && rejected.add(id)) {
+                copies.put(socket, rejection(id));
+                socket.write(copy + rejection(id));
+            } else {
+                runs.merge(id, 1, Integer::sum);
+                socket.write(copy + responseWithLength(id, "answer of " + id));
+            }
+        });
+        sendPayment("known");
+        for (int number = 0; number < 20; number++) {
+            String id = "m" + number;
+            HttpResponse<String> answer = deployment.send(deployment
+                    .request(node, "/pay/x", id)
+                    .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                    .build());
+            assertEquals(answer.statusCode() + " " + answer.body(), "200 answer of " + id);
+            assertEquals((int) runs.get(id), 1, id);
+        }
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -75,7 +75,7 @@
     }
 
     void start() {
-        Future<WorkerConnections.Connection> acquiring = connections.acquire();
+        Future<WorkerConnections.Connection> acquiring = connections.acquire(message.requestId());
         boolean opened = !acquiring.isComplete();
         if (opened) {
             listener.onConnecting();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
@@ -10,12 +10,14 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 /**
  * Pools the connections of this node to one worker. Idle connections are reused, the newest first, only as long as the
  * worker can be expected to keep them open: for a share of its keep-alive timeout, or for a default time if it states
- * none.
+ * none. All attempts of a request have the same id, by which a late second answer is told from the awaited one, so each
+ * attempt gets a connection that has not carried the request before.
  */
 final class WorkerConnections {
 
@@ -28,6 +30,9 @@
     /** Share of the keep-alive timeout of the worker for which an idle connection may be reused. */
     private static final double REUSE_SHARE = 0.7;
 
+    /** The number of requests that a connection remembers; attempts of one request follow each other closely. */
+    private static final int MAX_REMEMBERED_REQUESTS = 64;
+
     private final HttpClientAgent client;
     private final HttpConnectOptions target;
     private final TimeSource time;
@@ -60,6 +65,9 @@
     final class Connection {
 
         private final HttpClientConnection http;
+        /** The ids of the latest requests, the newest last. */
+        private final Deque<String> requestIds = new ArrayDeque<>();
+
         private long reusableUntilMillis;
         private long lastResponseMillis;
         private boolean closed;
@@ -74,6 +82,18 @@
             return http;
         }
 
+        private boolean hasCarried(String requestId) {
+            return requestIds.contains(requestId);
+        }
+
+        private Connection carry(String requestId) {
+            if (requestIds.size() == MAX_REMEMBERED_REQUESTS) {
+                requestIds.removeFirst();
+            }
+            requestIds.addLast(requestId);
+            return this;
+        }
+
         /**
          * Returns the connection to the pool, or closes it if the worker does not keep it open or the end of the
          * response was not determined by its framing.
@@ -108,24 +128,35 @@
     }
 
     /**
-     * Takes an idle connection from the pool or opens a new one.
+     * Takes an idle connection from the pool that has not carried the request, or opens a new one.
      *
+     * @param requestId the id of the request
      * @return the connection; fails if none can be opened
      */
-    Future<Connection> acquire() {
-        long nowMillis = time.monotonicMillis();
-        boolean trusted = idleTrusted.getAsBoolean();
-        while (!idle.isEmpty()) {
-            Connection connection = idle.pop();
-            if (trusted
-                    && !connection.closed
-                    && nowMillis < connection.reusableUntilMillis
-                    && connection.lastResponseMillis > minLastResponseMillis) {
-                return Future.succeededFuture(connection);
+    Future<Connection> acquire(String requestId) {
+        return takeIdle(requestId)
+                .map(Future::succeededFuture)
+                .orElseGet(() -> client.connect(target).map(Connection::new))
+                .map(connection -> connection.carry(requestId));
+    }
+
+    private Optional<Connection> takeIdle(String requestId) {
+        for (Connection connection : List.copyOf(idle)) {
+            if (!isReusable(connection)) {
+                connection.close();
+            } else if (!connection.hasCarried(requestId)) {
+                idle.remove(connection);
+                return Optional.of(connection);
             }
-            connection.close();
         }
-        return client.connect(target).map(Connection::new);
+        return Optional.empty();
+    }
+
+    private boolean isReusable(Connection connection) {
+        return idleTrusted.getAsBoolean()
+                && !connection.closed
+                && time.monotonicMillis() < connection.reusableUntilMillis
+                && connection.lastResponseMillis > minLastResponseMillis;
     }
 
     /**
