--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
@@ -11,36 +11,61 @@
 import java.util.concurrent.TimeUnit;
 
 /** One node as a process of its own, which is started, stopped and suspended from outside. Not thread-safe. */
-final class NodeProcess implements AutoCloseable {
+public final class NodeProcess implements AutoCloseable {
 
-    static final String HOST = "127.0.0.1";
+    /** The address on which nodes listen for callers. */
+    public static final String HOST = "127.0.0.1";
+
+    /** The time that a node has for a planned stop unless another is given, in seconds. */
+    static final long STOP_SECONDS = 8;
 
-    private static final long STOP_SECONDS = 8;
     private static final long READY_TIMEOUT_MILLIS = 20_000;
     private static final int OK = 200;
 
     private final Path folder;
     private final String name;
     private final PlatformFixtures.Addresses addresses;
+    private final long stopSeconds;
     private Process process;
 
-    NodeProcess(Path folder, int index, int peerPort, int storePort) throws IOException {
+    /**
+     * Writes the settings of a node that is not started.
+     *
+     * @param folder the folder for the settings and the log
+     * @param index the index of the node, which determines its name and its address for other nodes
+     * @param peerPort the port for other nodes; the next one is used too
+     * @param storePort the port of the store on {@link #HOST}
+     * @param stopSeconds the time that the node has for a planned stop, in seconds
+     * @throws IOException if the settings cannot be written
+     */
+    public NodeProcess(Path folder, int index, int peerPort, int storePort, long stopSeconds) throws IOException {
         this.folder = folder;
         this.name = "node-" + index;
         this.addresses = new PlatformFixtures.Addresses(
                 HOST, "127.0.0." + (index + 1), FreePorts.find(), FreePorts.find(), peerPort, storePort);
-        Files.writeString(settingsFile(), PlatformFixtures.settings(name, addresses, STOP_SECONDS, List.of(HOST)));
+        Files.writeString(settingsFile(), PlatformFixtures.settings(name, addresses, stopSeconds, List.of(HOST)));
+        this.stopSeconds = stopSeconds;
     }
 
     private Path settingsFile() {
         return folder.resolve(name + ".toml");
     }
 
-    int callerPort() {
+    /**
+     * Returns the port for callers.
+     *
+     * @return the port on {@link #HOST}
+     */
+    public int callerPort() {
         return addresses.callerPort();
     }
 
-    void start() throws IOException {
+    /**
+     * Starts the node.
+     *
+     * @throws IOException if the process cannot be started
+     */
+    public void start() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx96m",
@@ -63,8 +88,13 @@
         Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
-    /** Waits until the node says that it is ready; throws if that takes longer than 20 seconds. */
-    void awaitReady() throws IOException, InterruptedException {
+    /**
+     * Waits until the node says that it is ready.
+     *
+     * @throws IOException if that takes longer than 20 seconds
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public void awaitReady() throws IOException, InterruptedException {
         long endMillis = SoakLog.nowMillis() + READY_TIMEOUT_MILLIS;
         while (!ready()) {
             if (SoakLog.nowMillis() > endMillis || !process.isAlive()) {
@@ -89,15 +119,24 @@
         }
     }
 
-    /** Requests a planned stop and waits until the process has ended; kills it after the stop time of its settings. */
-    void stop() throws InterruptedException {
+    /**
+     * Requests a planned stop and waits until the process has ended; kills it after the stop time of its settings.
+     *
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public void stop() throws InterruptedException {
         process.destroy();
-        if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+        if (!process.waitFor(stopSeconds, TimeUnit.SECONDS)) {
             kill();
         }
     }
 
-    void kill() throws InterruptedException {
+    /**
+     * Kills the process.
+     *
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
     }
 
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/SoakRun.java
@@ -117,7 +117,7 @@
         }
         int peerPort = FreePorts.findTwo();
         for (int index = 0; index < nodeCount; index++) {
-            NodeProcess node = new NodeProcess(folder, index, peerPort, store.port());
+            NodeProcess node = new NodeProcess(folder, index, peerPort, store.port(), NodeProcess.STOP_SECONDS);
             nodes.add(node);
             node.start();
         }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -53,7 +53,7 @@
 
     /**
      * Writes the status and headers of a stream unless they have been written already. The response is framed only if
-     * that of the worker is.
+     * that of the worker is and the caller's version of HTTP knows chunks.
      */
     void writeHeaders(UpstreamResponseHeaders answer, MultiMap headers, long sinceArrivalMillis, Outcome outcome) {
         if (headersWritten()) {
@@ -64,7 +64,7 @@
         response.headers().addAll(protocol.responseHeaders(headers));
         source.addOutcome(response.headers(), outcome);
         response.setChunked(true);
-        if (!answer.selfDelimited()) {
+        if (!answer.selfDelimited() || request.version() == HttpVersion.HTTP_1_0) {
             delimitByClose();
         }
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CloseDelimitedResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CloseDelimitedResponse.java
@@ -8,15 +8,22 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 
 /**
  * Takes the framing from the next response on a caller's connection, so that only the close of the connection delimits
  * it. Vert.x frames every response to a caller of HTTP/1.1.
+ *
+ * <p>Until all bytes of the response have been written, any close of the connection is a reset, also the one by the
+ * operating system at the end of the process: an orderly close would be the end of a complete response.
  */
 final class CloseDelimitedResponse extends ChannelOutboundHandlerAdapter {
 
+    private static final int RESET_ON_CLOSE = 0;
+    private static final int ORDERLY_CLOSE = -1;
+
     private CloseDelimitedResponse() {
         super();
     }
@@ -28,17 +35,24 @@
      */
     static void beginOn(HttpConnection connection) {
         ChannelHandlerContext context = base(connection).channelHandlerContext();
+        setLinger(context.channel(), RESET_ON_CLOSE);
         context.pipeline().addBefore(context.name(), null, new CloseDelimitedResponse());
     }
 
+    private static void setLinger(Channel channel, int seconds) {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, seconds);
+        }
+    }
+
     /**
-     * Resets a connection, since an orderly close would be the end of a complete response.
+     * Resets a connection.
      *
      * @param connection the connection of the caller
      */
     static void breakOff(HttpConnection connection) {
         Channel channel = base(connection).channelHandlerContext().channel();
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        setLinger(channel, RESET_ON_CLOSE);
         channel.close();
     }
 
@@ -53,7 +67,15 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof HttpResponse response && response.status().code() >= HttpResponseStatus.OK.code()) {
             response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-            super.write(context, message, promise);
+        }
+        if (message instanceof LastHttpContent) {
+            ChannelPromise written = promise.unvoid();
+            written.addListener(future -> {
+                if (future.isSuccess()) {
+                    setLinger(context.channel(), ORDERLY_CLOSE);
+                }
+            });
+            super.write(context, message, written);
             context.pipeline().remove(this);
             return;
         }
