--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -198,7 +198,8 @@
     }
 
     private List<CollectionFollower> newFollowers(CollectionStore store) {
-        LongSupplier longPollTimeoutMillis = () -> WatchPolicy.longPollTimeoutMillis(dispatcher.nodeCount());
+        LongSupplier longPollTimeoutMillis =
+                () -> WatchPolicy.longPollTimeoutMillis(dispatcher.nodeCount(), environment.random());
         LongSupplier gatherMillis = () -> WatchPolicy.gatherMillis(dispatcher.nodeCount());
         return List.of(
                 follower(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -12,13 +12,6 @@
  */
 public final class CollectionFollower {
 
-    /**
-     * The long-poll timeout of a watch, in milliseconds, for collections whose changes must arrive soon. A watch whose
-     * connection was lost without an error is detected only when this timeout expires, so it is short compared to the
-     * time within which a change has to be in force after a connection loss.
-     */
-    public static final long SHORT_WATCH_MILLIS = 4_000;
-
     /**
      * The long-poll timeout of a watch, in milliseconds, for collections of which a late change does no harm. It is the
      * maximum that the store allows.
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/WatchPolicy.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/WatchPolicy.java
@@ -1,15 +1,27 @@
 package io.lagoonseam.entry.store;
 
+import java.util.random.RandomGenerator;
+
 /**
- * Determines the long-poll timeout of a watch from the number of nodes. Each node reports the changes that it has
- * received to the others, so one new watch every 500 ms over all nodes is enough. Between 8 and 50 nodes the rate of
- * calls to the store therefore does not grow with the number of nodes; below and above, the minimum and the maximum
- * long-poll timeout apply.
+ * Determines the long-poll timeout of a watch from the number of nodes. A connection that has gone silent without an
+ * error is noticed when the long poll ends without an answer. In a small deployment each node notices that within the
+ * time in which it has to be in touch with the store again. Each node reports the changes that it has received to the
+ * others, so in a larger one it is enough that some node does: the timeouts grow with the number of nodes, and the rate
+ * of calls to the store does not. They are random, since a change ends the watches of all nodes at the same time.
  */
 public final class WatchPolicy {
 
+    /**
+     * The long-poll timeout of a node that relies on its own watch, in milliseconds. With the time for the answer and
+     * the listing that follows, it stays below three seconds.
+     */
+    static final long SHORT_WATCH_MILLIS = 1_500;
+
+    /** The shortest long-poll timeout, in milliseconds; shorter ones would make every node a frequent caller. */
+    static final long MIN_WATCH_MILLIS = 250;
+
     /** The interval between new watches of a collection over all nodes, in milliseconds. */
-    private static final long WATCH_INTERVAL_MILLIS = 500;
+    private static final long WATCH_INTERVAL_MILLIS = 165;
 
     /** How long changes are gathered between two watches, in milliseconds for each node, and at most. */
     private static final long GATHER_MILLIS_PER_NODE = 5;
@@ -45,15 +57,19 @@
     }
 
     /**
-     * Returns the long-poll timeout of a watch.
+     * Returns the long-poll timeout of the next watch.
      *
      * @param nodes the number of running nodes, including this one
-     * @return the timeout in milliseconds, at least {@link CollectionFollower#SHORT_WATCH_MILLIS} and at most
-     *     {@link CollectionFollower#LONG_WATCH_MILLIS}
+     * @param random the source of the differences between nodes
+     * @return the timeout in milliseconds, at most {@link CollectionFollower#LONG_WATCH_MILLIS}; at most
+     *     {@link #SHORT_WATCH_MILLIS} if the mean for this number of nodes is not higher
      */
-    public static long longPollTimeoutMillis(int nodes) {
-        return Math.min(
-                CollectionFollower.LONG_WATCH_MILLIS,
-                Math.max(CollectionFollower.SHORT_WATCH_MILLIS, WATCH_INTERVAL_MILLIS * nodes));
+    public static long longPollTimeoutMillis(int nodes, RandomGenerator random) {
+        long meanMillis = WATCH_INTERVAL_MILLIS * nodes;
+        if (meanMillis <= SHORT_WATCH_MILLIS) {
+            return SHORT_WATCH_MILLIS;
+        }
+        long maxMillis = Math.min(CollectionFollower.LONG_WATCH_MILLIS, 2 * meanMillis - MIN_WATCH_MILLIS);
+        return random.nextLong(MIN_WATCH_MILLIS, maxMillis + 1);
     }
 }
