--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/RawWorkerTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/RawWorkerTest.java
@@ -422,4 +422,49 @@
             assertEquals((int) runs.get(id), 1, id);
         }
     }
+
+    private static int number(String id) {
+        return Integer.parseInt(id.substring(1));
+    }
+
+    private static String failure(String id) {
+        return "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: " + id
+                + "\r\nX-Response-Seal: s\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private void assertOwnAnswerOrNone(String id) throws Exception {
+        HttpResponse<String> answer = sendPayment(id);
+        int own = number(id) % 2 == 1 ? 500 : 200;
+        assertTrue(answer.statusCode() == own || answer.statusCode() == 502, id + ": " + answer.statusCode());
+        if (answer.statusCode() == 200) {
+            assertEquals(answer.body(), "answer of " + id);
+        }
+    }
+
+    /** Guards against a status line that is joined from a copy that breaks off and the next answer (MIXED). */
+    @Test
+    public void copyThatBreaksOffWithinItsStatusLineGivesTheNextRequestNoOtherStatus() throws Exception {
+        Map<NetSocket, String> copies = new ConcurrentHashMap<>();
+        startWorker((socket, id) -> {
+            String copy = copies.getOrDefault(socket, "");
+            String own = number(id) % 2 == 1 ? failure(id) : responseWithLength(id, "answer of " + id);
+            copies.put(socket, own.substring(0, 10 + number(id) % 8));
+            socket.write(copy + own);
+        });
+        for (int number = 0; number < 40; number++) {
+            assertOwnAnswerOrNone("m" + number);
+        }
+    }
+
+    /** The same for a copy that arrives between two requests. */
+    @Test
+    public void beginningOfACopyBetweenTwoRequestsGivesTheNextOneNoOtherStatus() throws Exception {
+        startWorker((socket, id) -> {
+            String own = number(id) % 2 == 1 ? failure(id) : responseWithLength(id, "answer of " + id);
+            socket.write(own + own.substring(0, 14));
+        });
+        for (int number = 0; number < 40; number++) {
+            assertEquals(sendPayment("m" + number).statusCode(), number % 2 == 1 ? 500 : 200);
+        }
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -114,6 +114,10 @@
             listener.onNotSent();
             return;
         }
+        if (connection.hasUndecodedBytes()) {
+            fail(new AttemptResult.NotRun("the connection has bytes of an earlier answer", false));
+            return;
+        }
         filter = MismatchedResponseFilter.of(request.connection(), protocol.requestIdHeader());
         filter.expect(message.requestId());
         request.headers().addAll(message.headers());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
@@ -94,13 +94,18 @@
             return this;
         }
 
+        /** Returns whether the beginning of a response has been received that no request awaits. */
+        boolean hasUndecodedBytes() {
+            return WorkerChannel.hasUndecodedBytes(WorkerChannel.context(http).pipeline());
+        }
+
         /**
-         * Returns the connection to the pool, or closes it if the worker does not keep it open or the end of the
-         * response was not determined by its framing.
+         * Returns the connection to the pool, or closes it if the worker does not keep it open, if the end of the
+         * response was not determined by its framing, or if more bytes have come than the response has.
          */
         void release(UpstreamResponseHeaders answer) {
             lastResponseMillis = time.monotonicMillis();
-            if (closed || answer.closesConnection() || !answer.selfDelimited()) {
+            if (closed || answer.closesConnection() || !answer.selfDelimited() || hasUndecodedBytes()) {
                 close();
                 return;
             }
@@ -156,7 +161,8 @@
         return idleTrusted.getAsBoolean()
                 && !connection.closed
                 && time.monotonicMillis() < connection.reusableUntilMillis
-                && connection.lastResponseMillis > minLastResponseMillis;
+                && connection.lastResponseMillis > minLastResponseMillis
+                && !connection.hasUndecodedBytes();
     }
 
     /**
