--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeDirectory.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.entry.peer.PeerAddress;
+import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.store.CollectionFollower;
 import io.lagoonseam.entry.store.CollectionObject;
 import io.lagoonseam.entry.store.CollectionStore;
@@ -96,14 +97,18 @@
     private static Optional<PeerAddress> parse(String id) {
         int colon = id.lastIndexOf(':');
         try {
-            return colon <= 0
-                    ? Optional.empty()
-                    : Optional.of(new PeerAddress(id.substring(0, colon), Integer.parseInt(id.substring(colon + 1))));
+            String host = id.substring(0, Math.max(0, colon));
+            int port = Integer.parseInt(id.substring(colon + 1));
+            return isConnectable(host, port) ? Optional.of(new PeerAddress(host, port)) : Optional.empty();
         } catch (NumberFormatException e) {
             return Optional.empty();
         }
     }
 
+    private static boolean isConnectable(String host, int port) {
+        return new ListenAddress(host, port).isConnectable();
+    }
+
     String ownId() {
         return id(ownAddress);
     }
@@ -344,7 +349,10 @@
         }
         if (object.content() == null
                 || !object.content().path(HOST).isTextual()
-                || !object.content().path(PORT).isInt()) {
+                || !object.content().path(PORT).isInt()
+                || !isConnectable(
+                        object.content().path(HOST).asText(),
+                        object.content().path(PORT).asInt())) {
             environment
                     .events()
                     .record(EventCode.CONFIGURATION_UNREADABLE, "malformed registration of " + object.name());
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
@@ -141,7 +141,8 @@
     Future<Connection> acquire(String requestId) {
         return takeIdle(requestId)
                 .map(Future::succeededFuture)
-                .orElseGet(() -> client.connect(target).map(Connection::new))
+                .orElseGet(() ->
+                        Future.succeededFuture(target).compose(client::connect).map(Connection::new))
                 .map(connection -> connection.carry(requestId));
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -191,8 +191,12 @@
         onSuccess();
         staleListing = mayBeStale;
         revision = objects.revision();
-        listener.listed(objects.objects(), objects.revision());
-        watch();
+        try {
+            listener.listed(objects.objects(), objects.revision());
+        } finally {
+            // whatever a listener makes of the objects, changes are followed
+            watch();
+        }
     }
 
     private void watch() {
@@ -210,11 +214,10 @@
             onSuccess();
             staleListing = false;
             revision = Math.max(revision, changes.revision());
-            listener.changed(changes.objects(), changes.revision());
-            if (changes.objects().isEmpty()) {
-                watch();
-            } else {
-                timers.schedule(Math.max(1, options.gatherMillis().getAsLong()), this::watch);
+            try {
+                listener.changed(changes.objects(), changes.revision());
+            } finally {
+                watchAgain(changes.objects().isEmpty());
             }
         } else if (result instanceof StoreResult.HistoryGone) {
             // a stale listing is enough unless its own revision is gone too
@@ -224,6 +227,14 @@
         }
     }
 
+    private void watchAgain(boolean atOnce) {
+        if (atOnce) {
+            watch();
+        } else {
+            timers.schedule(Math.max(1, options.gatherMillis().getAsLong()), this::watch);
+        }
+    }
+
     private void onSuccess() {
         backoffMillis = INITIAL_BACKOFF_MILLIS;
         listener.succeeded();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/StoreRevision.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/StoreRevision.java
@@ -8,7 +8,8 @@
 public final class StoreRevision {
 
     private static final int REVISION_BITS = 48;
-    private static final long MAX_PLAIN_REVISION = (1L << REVISION_BITS) - 1;
+    /** The highest plain revision. */
+    public static final long MAX_PLAIN_REVISION = (1L << REVISION_BITS) - 1;
 
     /** The highest era; higher ones cannot be told apart from it. */
     public static final long MAX_ERA = (1L << (Long.SIZE - 1 - REVISION_BITS)) - 1;
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/CollectionFollowerTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/CollectionFollowerTest.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.store;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.lagoonseam.entry.configuration.fleet.VirtualTime;
 import java.util.List;
@@ -22,6 +23,7 @@
         private final FaultyCollection store = new FaultyCollection(time);
         private final CollectionFollower follower;
         private long known = -1;
+        private boolean fails;
 
         Following(long seed) {
             Random random = new Random(seed);
@@ -35,6 +37,18 @@
                             () -> WatchPolicy.longPollTimeoutMillis(1, random), () -> 5L, false));
         }
 
+        /** Runs on as an event loop does, which a failed task does not end. */
+        private void runFor(long millis) {
+            long endMillis = time.monotonicMillis() + millis;
+            while (time.monotonicMillis() < endMillis) {
+                try {
+                    time.runFor(endMillis - time.monotonicMillis());
+                } catch (IllegalStateException e) {
+                    assertTrue(fails, "only the listener fails");
+                }
+            }
+        }
+
         void run(FaultyCollection.Mode mode, long millis) {
             store.mode(mode);
             time.runFor(millis);
@@ -43,11 +57,19 @@
         @Override
         public void listed(List<CollectionObject> objects, long revision) {
             known = revision;
+            failIfSet();
         }
 
         @Override
         public void changed(List<CollectionObject> objects, long revision) {
             known = revision;
+            failIfSet();
+        }
+
+        private void failIfSet() {
+            if (fails) {
+                throw new IllegalStateException("an object that the listener cannot take");
+            }
         }
 
         @Override
@@ -64,7 +86,7 @@
     private static void assertFollows(Following following, String message) {
         for (int change = 1; change <= 3; change++) {
             following.store.change();
-            following.time.runFor(APPLY_MILLIS);
+            following.runFor(APPLY_MILLIS);
             assertEquals(following.known, following.store.revision(), message + ", change " + change);
         }
     }
@@ -87,6 +109,18 @@
         }
     }
 
+    /** Guards against objects that end the following of a collection for good. */
+    @Test
+    public void followsAfterItsListenerHasFailed() {
+        Following following = new Following(1);
+        following.fails = true;
+        following.follower.start();
+        following.runFor(APPLY_MILLIS);
+        following.store.change();
+        following.runFor(APPLY_MILLIS);
+        assertFollows(following, "the listener fails");
+    }
+
     /** Guards against channels to the store that go silent and are noticed too late (review, case 4). */
     @Test
     public void learnsOfAChangeInTimeAfterItsConnectionsHaveGoneSilent() {
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/FaultyCollection.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/FaultyCollection.java
@@ -71,7 +71,8 @@
         revision++;
         List<Watch> answered = List.copyOf(watches);
         watches.clear();
-        answered.forEach(watch -> watch.promise().tryComplete(objects()));
+        answered.forEach(
+                watch -> time.schedule(ANSWER_MILLIS, () -> watch.promise().tryComplete(objects())));
     }
 
     private StoreResult.Objects objects() {
