--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/SoftwareVersionTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/SoftwareVersionTest.java
@@ -213,6 +213,45 @@
         assertMostWhole(streams);
     }
 
+    /**
+     * All nodes end at once while one version serves, or two, and others start without memory (report of the review).
+     */
+    @Test(dataProvider = "versionsThatLeave")
+    public void streamsOfNodesThatAllEndAtOnceAreNotJoinedFromTwoVersions(List<String> leaving) throws Exception {
+        startEngines(25, Integer.MAX_VALUE);
+        startNodes(3);
+        List<LocalDeployment.Node> ended = List.copyOf(nodes);
+        List<Caller> callers = new ArrayList<>();
+        List<CompletableFuture<Boolean>> streams = new ArrayList<>();
+        for (int index = 0; index < STREAMS; index++) {
+            Caller caller = new Caller("a" + index);
+            LocalDeployment.Node first = ended.get(index % ended.size());
+            callers.add(caller);
+            streams.add(CompletableFuture.supplyAsync(() -> caller.tryOnce(first), threads));
+        }
+        for (Caller caller : callers) {
+            caller.begun.await();
+        }
+        for (String id : leaving) {
+            deployment.runInStore(() -> deployment.store().remove("servers", id));
+        }
+        workers.subList(0, leaving.size()).clear();
+        ended.forEach(node -> node.vertx().close());
+        streams.forEach(CompletableFuture::join);
+        nodes.clear();
+        startNodes(3);
+        callers.stream()
+                .map(caller -> CompletableFuture.supplyAsync(() -> caller.run(nodes), threads))
+                .toList()
+                .forEach(CompletableFuture::join);
+        assertOneVersionEach(callers);
+    }
+
+    @DataProvider
+    public Object[][] versionsThatLeave() {
+        return new Object[][] {{List.of()}, {List.of("e0-v1", "e1-v1")}};
+    }
+
     @Test
     public void aStreamThatNobodyKnowsIsNotTakenUpAtAnyVersion() {
         startEngines(4, Integer.MAX_VALUE);
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/resume/VersionHistory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/resume/VersionHistory.java
@@ -78,6 +78,19 @@
         lastSeenMillis.values().removeIf(Map::isEmpty);
     }
 
+    /**
+     * Records that the workers' registrations could not be followed for some time and were then listed anew. If it was
+     * long enough for workers to come and go, the versions before its end are not known.
+     *
+     * @param forMillis how long, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void notFollowed(long forMillis, long nowMillis) {
+        if (forMillis > MAX_GAP_MILLIS) {
+            sinceMillis = nowMillis;
+        }
+    }
+
     /**
      * Returns the versions that a service has had.
      *
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/resume/VersionHistoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/resume/VersionHistoryTest.java
@@ -101,4 +101,22 @@
         assertTrue(routes.ledOnlyTo(window, 18_000));
         assertEquals(RouteHistory.window(route("llm", "other"), 0).service(), "");
     }
+
+    /** Guards against a version that came and went while a node was out of step (further report of the review). */
+    @Test
+    public void aNodeThatDidNotFollowTheWorkersDoesNotKnow() {
+        VersionHistory outOfStep = new VersionHistory();
+        UpstreamRecord worker = new UpstreamRecord("w", 1, "llm", "v1", "h", 80, "a", 4, false, 1);
+        for (long at = 0; at <= 20_000; at += 250) {
+            outOfStep.observe(List.of(worker), at);
+        }
+        outOfStep.notFollowed(1_500, 20_000);
+        assertEquals(outOfStep.versions("llm", WINDOW_MILLIS, 20_000).only(), "v1");
+        outOfStep.notFollowed(5_000, 20_000);
+        assertEquals(outOfStep.versions("llm", WINDOW_MILLIS, 20_000).only(), "");
+        for (long at = 20_250; at <= 30_000; at += 250) {
+            outOfStep.observe(List.of(worker), at);
+        }
+        assertEquals(outOfStep.versions("llm", WINDOW_MILLIS, 30_000).only(), "v1");
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -157,6 +157,11 @@
         versionHistory.observe(directory.known(), time.monotonicMillis());
     }
 
+    /** Records that the workers' registrations were not followed for some time, in milliseconds, until now. */
+    void onUpstreamsNotFollowed(long forMillis) {
+        versionHistory.notFollowed(forMillis, time.monotonicMillis());
+    }
+
     /** Returns the software versions that a service has had, complete if its route has led nowhere else meanwhile. */
     Versions observedVersions(ServiceWindow window) {
         long nowMillis = time.monotonicMillis();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -83,6 +83,7 @@
     private final DetourExchange detours;
     private final DispatchTicker ticker;
     private final VertxPeerTransport transport;
+    private final RegisteredVersions registeredVersions;
     private final List<CollectionFollower> followers;
     private final List<Long> timers = new ArrayList<>();
     private final Optional<ListenAddress> metricsAddress;
@@ -112,7 +113,14 @@
                 .setTcpNoDelay(true)
                 .setDecompressionSupported(false));
         this.dispatcher = new ForwardDispatcher(environment, client, directory);
-        this.storeReplica = new StoreReplica(environment, decoder, directory, dispatcher::configure, this::onUpstreams);
+        this.registeredVersions = new RegisteredVersions(store, decoder);
+        this.storeReplica = new StoreReplica(
+                environment,
+                decoder,
+                directory,
+                dispatcher::configure,
+                this::onUpstreams,
+                dispatcher::onUpstreamsNotFollowed);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
         this.operations = new OperationsServer(vertx, this::ready, registry);
         this.nodes = new NodeDirectory(environment, store, dispatcher::nodeCount);
@@ -276,7 +284,8 @@
                 (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
                 nodes::others,
                 nodes::listed,
-                dispatcher::observedVersions));
+                dispatcher::observedVersions,
+                registeredVersions::read));
     }
 
     private CollectionFollower follower(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Holds the configuration in force and the workers' records, from the store or from the snapshot of another node.
@@ -33,6 +34,7 @@
     private final UpstreamDirectory directory;
     private final Consumer<RoutingConfiguration> onConfiguration;
     private final Runnable onUpstreams;
+    private final LongConsumer onNotFollowed;
     private final StoreReachability storeReachability;
     private final Map<String, CollectionObject> upstreams = new HashMap<>();
     private RoutingConfiguration configuration;
@@ -44,12 +46,14 @@
             RecordDecoder decoder,
             UpstreamDirectory directory,
             Consumer<RoutingConfiguration> onConfiguration,
-            Runnable onUpstreams) {
+            Runnable onUpstreams,
+            LongConsumer onNotFollowed) {
         this.environment = environment;
         this.decoder = decoder;
         this.directory = directory;
         this.onConfiguration = onConfiguration;
         this.onUpstreams = onUpstreams;
+        this.onNotFollowed = onNotFollowed;
         this.storeReachability = new StoreReachability(environment.events());
     }
 
@@ -147,13 +151,19 @@
 
     private final class UpstreamListener implements CollectionFollower.Listener {
 
+        private long followedUntilMillis = Long.MAX_VALUE;
+
         @Override
         public void listed(List<CollectionObject> objects, long revision) {
+            long nowMillis = nowMillis();
+            onNotFollowed.accept(Math.max(0, nowMillis - followedUntilMillis));
+            followedUntilMillis = nowMillis;
             applyListing(objects, revision);
         }
 
         @Override
         public void changed(List<CollectionObject> objects, long revision) {
+            followedUntilMillis = nowMillis();
             if (objects.isEmpty()) {
                 return;
             }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/StreamOriginExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/resume/StreamOriginExchange.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
@@ -30,8 +31,9 @@
  * Remembers which software versions began the streams of this node, has some other nodes remember them too, and asks
  * those about a stream that this node does not know. Rendezvous hashing selects the nodes for each stream, so that the
  * messages of a node do not grow with the number of nodes. A stream that none of them knows began at the only version
- * that its service has had for longer than it may last, if there was only one. The store is not involved. Not
- * thread-safe: all calls and callbacks run on one event loop.
+ * that its service has had for longer than it may last, if there was only one. A node that is out of step does not
+ * notice a new version, so the store has to confirm that, or all nodes that were asked. Not thread-safe: all calls and
+ * callbacks run on one event loop.
  */
 public final class StreamOriginExchange implements StreamOriginSource {
 
@@ -85,6 +87,7 @@
      * @param knowsAllNodes returns whether all registered nodes are among them
      * @param observed returns the software versions that a service has had, complete only if its route has led nowhere
      *     else
+     * @param registered reads the software versions that a service has now; empty if the store does not answer
      */
     public record Environment(
             TimeSource time,
@@ -93,7 +96,16 @@
             Timers timers,
             Supplier<List<String>> otherNodes,
             Supplier<Boolean> knowsAllNodes,
-            Function<ServiceWindow, Versions> observed) {}
+            Function<ServiceWindow, Versions> observed,
+            Function<String, CompletionStage<Optional<Set<String>>>> registered) {}
+
+    /**
+     * What this node and others know of a stream.
+     *
+     * @param answer what they know together
+     * @param confirmed whether other nodes were asked and all of them have answered
+     */
+    private record Search(Answer answer, boolean confirmed) {}
 
     /**
      * Creates an exchange that remembers nothing.
@@ -210,13 +222,25 @@
 
     @Override
     public CompletionStage<Optional<StreamOrigin>> find(StreamKey stream, ServiceWindow window) {
-        return search(stream, window, !environment.knowsAllNodes().get()).thenApply(found -> {
-            String only = found.versions().only();
-            return found.entries().stream()
-                    .findFirst()
-                    .map(Entry::origin)
-                    .or(() -> Optional.of(new StreamOrigin(window.service(), only))
-                            .filter(origin -> !origin.service().isEmpty() && !only.isEmpty()));
+        return search(stream, window, !environment.knowsAllNodes().get()).thenCompose(found -> {
+            Optional<StreamOrigin> known =
+                    found.answer().entries().stream().findFirst().map(Entry::origin);
+            return known.isPresent() ? CompletableFuture.completedFuture(known) : onlyOrigin(window, found);
+        });
+    }
+
+    /** Returns the only version that the service has had, if the store or all nodes that were asked confirm it. */
+    private CompletionStage<Optional<StreamOrigin>> onlyOrigin(ServiceWindow window, Search found) {
+        String only = found.answer().versions().only();
+        if (only.isEmpty() || window.service().isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        StreamOrigin origin = new StreamOrigin(window.service(), only);
+        return environment.registered().apply(window.service()).thenApply(registered -> {
+            boolean confirmed = registered
+                    .map(versions -> Set.of(only).containsAll(versions))
+                    .orElse(found.confirmed());
+            return Optional.of(origin).filter(ignored -> confirmed);
         });
     }
 
@@ -231,17 +255,17 @@
      * versions are complete only if half of the nodes that were asked have answered: a node that is cut off from the
      * others and the store does not notice a new version.
      */
-    private CompletionStage<Answer> search(StreamKey stream, ServiceWindow window, boolean relayed) {
+    private CompletionStage<Search> search(StreamKey stream, ServiceWindow window, boolean relayed) {
         Answer own = own(stream, window);
         List<String> nodes = ranked(stream);
         if (!own.entries().isEmpty()) {
-            return CompletableFuture.completedFuture(own);
+            return CompletableFuture.completedFuture(new Search(own, true));
         }
         if (nodes.isEmpty()) {
             boolean alone = environment.knowsAllNodes().get();
-            return CompletableFuture.completedFuture(alone ? own : own.withoutAllVersions());
+            return CompletableFuture.completedFuture(new Search(alone ? own : own.withoutAllVersions(), false));
         }
-        CompletableFuture<Answer> found = new CompletableFuture<>();
+        CompletableFuture<Search> found = new CompletableFuture<>();
         List<String> asked = nodes.subList(0, Math.min(ASKED_NODES, nodes.size()));
         int[] unanswered = {asked.size()};
         int[] answers = {0};
@@ -261,7 +285,9 @@
                         });
                         if (entry(stream).isPresent() || unanswered[0] == 0) {
                             Answer all = new Answer(entry(stream).map(List::of).orElse(List.of()), versions[0]);
-                            found.complete(2 * answers[0] >= asked.size() ? all : all.withoutAllVersions());
+                            boolean half = 2 * answers[0] >= asked.size();
+                            found.complete(
+                                    new Search(half ? all : all.withoutAllVersions(), answers[0] == asked.size()));
                         }
                     }));
         }
@@ -281,7 +307,7 @@
 
     private CompletionStage<Answer> answer(Ask ask) {
         return ask.relayed()
-                ? search(ask.stream(), ask.window(), false)
+                ? search(ask.stream(), ask.window(), false).thenApply(Search::answer)
                 : CompletableFuture.completedFuture(own(ask.stream(), ask.window()));
     }
 
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/resume/StreamOriginExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/resume/StreamOriginExchangeTest.java
@@ -29,6 +29,7 @@
     private static final Versions ONLY_V1 = new Versions(true, Set.of("v1"));
 
     private final Map<String, Versions> answersByNode = new HashMap<>();
+    private Optional<Set<String>> registered;
     private List<String> nodes;
     private boolean knowsAllNodes;
 
@@ -37,6 +38,7 @@
         answersByNode.clear();
         nodes = List.of("a", "b", "c", "d", "e", "f", "g");
         knowsAllNodes = true;
+        registered = Optional.of(Set.of("v1"));
     }
 
     private Optional<StreamOrigin> find() {
@@ -60,7 +62,8 @@
                         (delayMillis, task) -> {},
                         () -> nodes,
                         () -> knowsAllNodes,
-                        window -> ONLY_V1))
+                        window -> ONLY_V1,
+                        service -> CompletableFuture.completedFuture(registered)))
                 .find(STREAM, WINDOW)
                 .toCompletableFuture()
                 .join();
@@ -98,4 +101,33 @@
         knowsAllNodes = false;
         assertEquals(find(), Optional.empty());
     }
+
+    /**
+     * Guards against a node that is out of step while workers of another version join, and takes up a stream that began
+     * there (further report of the review).
+     */
+    @Test
+    public void nodesThatAreOutOfStepDoNotTrustWhatTheyHaveObserved() {
+        answer(ONLY_V1, "a", "b", "c", "d");
+        registered = Optional.of(Set.of("v1", "v2"));
+        assertEquals(find(), Optional.empty());
+        registered = Optional.empty();
+        assertEquals(find(), Optional.empty());
+        registered = Optional.of(Set.of("v2"));
+        assertEquals(find(), Optional.empty());
+    }
+
+    @Test
+    public void allNodesTogetherNeedNoStore() {
+        answer(ONLY_V1, "a", "b", "c", "d", "e", "f", "g");
+        registered = Optional.empty();
+        assertEquals(find(), Optional.of(new StreamOrigin("llm", "v1")));
+    }
+
+    @Test
+    public void theOnlyNodeThatDoesNotReachTheStoreDoesNotTrustItself() {
+        nodes = List.of();
+        registered = Optional.empty();
+        assertEquals(find(), Optional.empty());
+    }
 }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/resume/StreamOriginSimulation.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/resume/StreamOriginSimulation.java
@@ -77,7 +77,8 @@
                     this::schedule,
                     () -> List.copyOf(view),
                     () -> true,
-                    window -> new Versions(false, Set.of())));
+                    window -> new Versions(false, Set.of()),
+                    service -> CompletableFuture.completedFuture(Optional.empty())));
             for (Node other : nodes) {
                 if (!other.equals(this)) {
                     after(random.nextInt(MAX_VIEW_LAG_MILLIS), () -> other.learn(newId));
