--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -210,6 +210,8 @@
     HOME_SILENT(715, EventLevel.WARNING, "The home of a service does not answer"),
     /** A home that was silent answers again. */
     HOME_BACK(716, EventLevel.INFO, "A home answers again"),
+    /** A watch of the store ended without an answer; the collections are listed anew over new connections. */
+    STORE_SILENT(717, EventLevel.WARNING, "A connection to the platform's store has gone silent"),
 
     /** A run-time check found that an invariant does not hold. */
     INVARIANT_VIOLATED(901, EventLevel.ERROR, "An invariant does not hold");
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -21,6 +21,7 @@
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.store.CollectionFollower;
 import io.lagoonseam.entry.store.CollectionStore;
+import io.lagoonseam.entry.store.StoreSilenceExchange;
 import io.lagoonseam.entry.store.WatchPolicy;
 import io.lagoonseam.wire.MessageTypes;
 import io.lagoonseam.wire.PlacementMessages;
@@ -84,6 +85,7 @@
     private final DispatchTicker ticker;
     private final VertxPeerTransport transport;
     private final RegisteredVersions registeredVersions;
+    private final StoreSilenceExchange storeSilence;
     private final List<CollectionFollower> followers;
     private final List<Long> timers = new ArrayList<>();
     private final Optional<ListenAddress> metricsAddress;
@@ -120,7 +122,8 @@
                 directory,
                 dispatcher::configure,
                 this::onUpstreams,
-                dispatcher::onUpstreamsNotFollowed);
+                dispatcher::onUpstreamsNotFollowed,
+                this::onStoreSilence);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
         this.operations = new OperationsServer(vertx, this::ready, registry);
         this.nodes = new NodeDirectory(environment, store, dispatcher::nodeCount);
@@ -202,6 +205,7 @@
         homes.onWork(ticker::wake);
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
         this.followers = newFollowers(store);
+        this.storeSilence = newStoreSilence(store);
         addGauges(metrics);
     }
 
@@ -261,6 +265,26 @@
                 new QuarantineListener(environment.events(), dispatcher::onQuarantined)));
     }
 
+    private StoreSilenceExchange newStoreSilence(CollectionStore store) {
+        Vertx vertx = environment.vertx();
+        return new StoreSilenceExchange(new StoreSilenceExchange.Environment(
+                environment.time(),
+                (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
+                task -> vertx.runOnContext(nothing -> task.run()),
+                transport,
+                () -> nodes.homesPlace() ? nodes.others() : List.of(),
+                environment.random(),
+                () -> {
+                    store.distrustConnections();
+                    followers.forEach(CollectionFollower::doNotTrustWatch);
+                }));
+    }
+
+    private void onStoreSilence() {
+        environment.events().record(EventCode.STORE_SILENT, "a watch has ended without an answer");
+        storeSilence.noticed();
+    }
+
     private DetourExchange newDetourExchange() {
         return new DetourExchange(new DetourExchange.Environment(
                 environment.time(),
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -35,6 +35,7 @@
     private final Consumer<RoutingConfiguration> onConfiguration;
     private final Runnable onUpstreams;
     private final LongConsumer onNotFollowed;
+    private final Runnable onSilence;
     private final StoreReachability storeReachability;
     private final Map<String, CollectionObject> upstreams = new HashMap<>();
     private RoutingConfiguration configuration;
@@ -47,13 +48,15 @@
             UpstreamDirectory directory,
             Consumer<RoutingConfiguration> onConfiguration,
             Runnable onUpstreams,
-            LongConsumer onNotFollowed) {
+            LongConsumer onNotFollowed,
+            Runnable onSilence) {
         this.environment = environment;
         this.decoder = decoder;
         this.directory = directory;
         this.onConfiguration = onConfiguration;
         this.onUpstreams = onUpstreams;
         this.onNotFollowed = onNotFollowed;
+        this.onSilence = onSilence;
         this.storeReachability = new StoreReachability(environment.events());
     }
 
@@ -147,6 +150,11 @@
         public void succeeded() {
             storeReachability.succeeded("configuration");
         }
+
+        @Override
+        public void silent() {
+            onSilence.run();
+        }
     }
 
     private final class UpstreamListener implements CollectionFollower.Listener {
@@ -194,6 +202,11 @@
         public void succeeded() {
             storeReachability.succeeded("workers");
         }
+
+        @Override
+        public void silent() {
+            onSilence.run();
+        }
     }
 
     private Optional<UpstreamRecord> decodeUpstream(CollectionObject object) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -51,6 +51,10 @@
     private final Options options;
     private long revision = -1;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
+    /** Identifies the pending watch; the result of an earlier one has no effect. */
+    private int watches;
+
+    private boolean watching;
     /** Whether the last listing may have been stale and no watch has succeeded since. */
     private boolean staleListing;
 
@@ -109,6 +113,11 @@
 
         /** Called when a call to the store succeeded. */
         void succeeded();
+
+        /** Called when a watch has ended without an answer, so that its connection may have gone silent. */
+        default void silent() {
+            // the follower lists the collection again by itself
+        }
     }
 
     /**
@@ -200,8 +209,25 @@
     }
 
     private void watch() {
+        watches++;
+        watching = true;
+        int watch = watches;
         store.watch(collection, revision, options.longPollTimeoutMillis().getAsLong())
-                .onSuccess(this::onChanged);
+                .onSuccess(result -> {
+                    if (watch == watches) {
+                        watching = false;
+                        onChanged(result);
+                    }
+                });
+    }
+
+    /** Lists the collection in place of waiting for the pending watch, whose connection may have gone silent. */
+    public void doNotTrustWatch() {
+        if (watching) {
+            watching = false;
+            watches++;
+            list();
+        }
     }
 
     private void onChanged(StoreResult result) {
@@ -224,6 +250,9 @@
             list(!staleListing);
         } else {
             scheduleRetry(String.valueOf(result), this::list);
+            if (result instanceof StoreResult.Unavailable unavailable && unavailable.silent()) {
+                listener.silent();
+            }
         }
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionStore.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionStore.java
@@ -38,6 +38,11 @@
      */
     Future<StoreResult> watch(String collection, long revision, long longPollTimeoutMillis);
 
+    /** Has later calls use new connections, since the open ones may have gone silent; pending calls go on. */
+    default void distrustConnections() {
+        // a store without connections of its own
+    }
+
     /**
      * Creates an object or replaces its content.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/StoreConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/StoreConnections.java
@@ -73,6 +73,13 @@
         });
     }
 
+    /** Has later calls use new connections; calls that are pending keep theirs. */
+    public void renew() {
+        Pool pool = current;
+        retire(pool);
+        pool.closeIfUnused();
+    }
+
     private void retire(Pool pool) {
         pool.retired = true;
         if (pool.equals(current)) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/StoreResult.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/StoreResult.java
@@ -30,6 +30,17 @@
      * The store did not respond, or responded with an error. A write may have taken effect.
      *
      * @param reason the reason, for log entries
+     * @param silent whether nothing came from the store in time, so that its connections may have gone silent
      */
-    record Unavailable(String reason) implements StoreResult {}
+    record Unavailable(String reason, boolean silent) implements StoreResult {
+
+        /**
+         * Creates the result of a call that the store rejected, or whose connection broke.
+         *
+         * @param reason the reason, for log entries
+         */
+        public Unavailable(String reason) {
+            this(reason, false);
+        }
+    }
 }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/FaultyCollection.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/FaultyCollection.java
@@ -81,7 +81,7 @@
 
     private Future<StoreResult> begin(Promise<StoreResult> promise, long timeoutMillis, Runnable onUp) {
         calls++;
-        time.schedule(timeoutMillis, () -> promise.tryComplete(new StoreResult.Unavailable("time-out")));
+        time.schedule(timeoutMillis, () -> promise.tryComplete(new StoreResult.Unavailable("time-out", true)));
         if (mode == Mode.UP) {
             onUp.run();
         } else if (mode != Mode.SILENT) {
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -102,5 +102,8 @@
      */
     public static final int REACH_ASK = 90;
 
+    /** Tells that connections to the store have gone silent: an empty message, answered by one. */
+    public static final int STORE_SILENT = 91;
+
     private MessageTypes() {}
 }
