Tests: callers of the node that starts beside odd entries are the ones that are checked

OddWorkerEntryTest took a node for its requests and did not use it, which the linter reported: the node that starts after the entry was not asked.

--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/OddWorkerEntryTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/OddWorkerEntryTest.java
@@ -53,7 +53,7 @@
             assertEquals(
                     deployment
                             .send(deployment
-                                    .request(node, "/read/x", ids + number)
+                                    .request(by, "/read/x", ids + number)
                                     .build())
                             .statusCode(),
                     200,
