--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -180,11 +180,13 @@
                     .map(CollectionObject::name)
                     .toList();
             directory.recordRemovals(removed, nowMillis());
-            for (CollectionObject object : objects) {
+            for (int index = 0; index < objects.size(); index++) {
+                CollectionObject object = objects.get(index);
                 upstreamRevision = Math.max(upstreamRevision, object.revision());
                 if (object.removed()) {
                     upstreams.remove(object.name());
-                    directory.applyRemoval(object.name(), Math.max(object.revision(), revision), nowMillis());
+                    long removedAt = removalRevision(object, objects.subList(index + 1, objects.size()), revision);
+                    directory.applyRemoval(object.name(), removedAt, nowMillis());
                 } else {
                     upstreams.put(object.name(), object);
                     decodeUpstream(object).ifPresent(directory::applyChange);
@@ -193,6 +195,19 @@
             onUpstreams.run();
         }
 
+        /**
+         * Returns the latest revision at which a record may have been removed, since the store does not tell it: before
+         * the next change of the record, or that of the whole answer.
+         */
+        private long removalRevision(CollectionObject removed, List<CollectionObject> later, long revision) {
+            long latest = later.stream()
+                    .filter(object -> object.name().equals(removed.name()))
+                    .mapToLong(object -> object.revision() - 1)
+                    .findFirst()
+                    .orElse(revision);
+            return Math.max(removed.revision(), latest);
+        }
+
         @Override
         public void failed(String reason) {
             onStoreFailure("workers", reason);
