--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerConnections.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -147,15 +148,20 @@
     }
 
     private Optional<Connection> takeIdle(String requestId) {
-        for (Connection connection : List.copyOf(idle)) {
+        List<Connection> unusable = new ArrayList<>();
+        Optional<Connection> found = Optional.empty();
+        Iterator<Connection> newestFirst = idle.iterator();
+        while (found.isEmpty() && newestFirst.hasNext()) {
+            Connection connection = newestFirst.next();
             if (!isReusable(connection)) {
-                connection.close();
+                unusable.add(connection);
             } else if (!connection.hasCarried(requestId)) {
-                idle.remove(connection);
-                return Optional.of(connection);
+                newestFirst.remove();
+                found = Optional.of(connection);
             }
         }
-        return Optional.empty();
+        unusable.forEach(Connection::close);
+        return found;
     }
 
     private boolean isReusable(Connection connection) {
