Tests: a violated invariant is named by the test that finds it

EntryStreamRecoveryTest compared the list of violations with an empty one, and a failure said only how many there were. It now compares their texts: as strict, and it says which.

--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/EntryStreamRecoveryTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/EntryStreamRecoveryTest.java
@@ -102,7 +102,7 @@
         fleet.injectFaults(0, new JsonObject().put("crashed", true));
         assertMatchingAnswers("crash ", answers);
         assertTrue(fleet.counter("attempts.extra.continuation") > 0, "no answer was continued on another worker");
-        assertEquals(fleet.violations(), List.of());
+        assertEquals(String.join("\n", fleet.violations()), "");
     }
 
     @Test
@@ -116,7 +116,7 @@
         }
         assertMatchingAnswers("silent ", answers);
         assertTrue(fleet.counter("attempts.extra.resume") > 0, "no stream was resumed");
-        assertEquals(fleet.violations(), List.of());
+        assertEquals(String.join("\n", fleet.violations()), "");
     }
 
     @Test
@@ -142,7 +142,7 @@
         int answered = assertMatchingAnswersOrRefusals("crossed ", answers);
         assertTrue(answered >= REQUESTS * 0.9, "answered " + answered);
         assertTrue(fleet.count(EventCode.ANSWER_MISMATCHED) > 0, "no mismatched answer was detected");
-        assertEquals(fleet.violations(), List.of());
+        assertEquals(String.join("\n", fleet.violations()), "");
     }
 
     @Test
@@ -152,7 +152,7 @@
         fleet.injectFaults(0, new JsonObject().put("lateMillis", 400));
         fleet.injectFaults(1, new JsonObject().put("lateMillis", 400));
         assertMatchingAnswersOrRefusals("late ", requestCompletions("late ", REQUESTS));
-        assertEquals(fleet.violations(), List.of());
+        assertEquals(String.join("\n", fleet.violations()), "");
     }
 
     @Test
@@ -189,6 +189,6 @@
                 + fleet.counter("attempts.extra.hedge")
                 + fleet.counter("attempts.extra.resume");
         assertTrue(extra < 0.2 * requests, extra + " extra attempts, requests: " + requests);
-        assertEquals(fleet.violations(), List.of());
+        assertEquals(String.join("\n", fleet.violations()), "");
     }
 }
