--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -78,6 +78,9 @@
     private void end(Buffer body) {
         response.end(body).onComplete(written -> {
             if (closeDelimited) {
+                if (written.succeeded()) {
+                    CloseDelimitedResponse.endOn(request.connection());
+                }
                 request.connection().close();
             }
         });
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CloseDelimitedResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CloseDelimitedResponse.java
@@ -45,6 +45,15 @@
         }
     }
 
+    /**
+     * Has the next close of a connection be an orderly one, since all bytes of the response have been written.
+     *
+     * @param connection the connection of the caller
+     */
+    static void endOn(HttpConnection connection) {
+        setLinger(base(connection).channelHandlerContext().channel(), ORDERLY_CLOSE);
+    }
+
     /**
      * Resets a connection.
      *
