--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/detour/DetourExchange.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/detour/DetourExchange.java
@@ -44,7 +44,7 @@
     private static final long ASKED_FOR_MILLIS = 2_000;
 
     /** How long is asked in vain until requests are told that there is no node, in milliseconds: two rounds. */
-    private static final long MAX_SEARCH_MILLIS = 500;
+    static final long MAX_SEARCH_MILLIS = 500;
 
     /** How long requests are told so without asking once all nodes have answered, in milliseconds. */
     private static final long ALL_CUT_OFF_MILLIS = 250;
@@ -101,7 +101,8 @@
         }
     }
 
-    private record Waiting(Set<String> excluded, CompletableFuture<Optional<String>> found) {}
+    /** A request for which no known node is left. */
+    private record Waiting(Set<String> excluded, long sinceMillis, CompletableFuture<Optional<String>> found) {}
 
     /**
      * Creates an exchange that has asked nothing.
@@ -147,10 +148,11 @@
         if (known.isPresent()) {
             return CompletableFuture.completedFuture(known);
         }
-        if (service.noneAt(nowMillis())) {
+        if (service.noneAt(nowMillis())
+                || excluded.containsAll(environment.others().get())) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        Waiting waiting = new Waiting(Set.copyOf(excluded), new CompletableFuture<>());
+        Waiting waiting = new Waiting(Set.copyOf(excluded), nowMillis(), new CompletableFuture<>());
         service.waiting.add(waiting);
         if (service.unanswered == 0) {
             ask(service);
@@ -182,6 +184,8 @@
             service.askedNamed = false;
             if (service.noneAt(nowMillis)) {
                 endWaiting(service);
+            } else {
+                endWaitingSince(service, nowMillis - MAX_SEARCH_MILLIS);
             }
             ask(service);
         }
@@ -217,7 +221,7 @@
         Set<String> asked = new LinkedHashSet<>(known.subList(0, Math.min(MAX_KNOWN_ASKED, known.size())));
         service.named.stream().filter(others::contains).forEach(asked::add);
         service.named.clear();
-        int more = known.isEmpty() ? WIDE_ROUND : NARROW_ROUND;
+        int more = known.isEmpty() || !service.waiting.isEmpty() ? WIDE_ROUND : NARROW_ROUND;
         for (int index = 0; index < more; index++) {
             if (service.notAsked.isEmpty()) {
                 service.notAsked.addAll(others);
@@ -245,8 +249,13 @@
                     .forEach(service.named::add);
         }
         service.unanswered--;
-        if (service.unanswered == 0 && service.peers.valid(nowMillis()).isEmpty()) {
+        if (service.unanswered > 0) {
+            return;
+        }
+        if (service.peers.valid(nowMillis()).isEmpty()) {
             onNoneFound(service);
+        } else if (service.askedAll) {
+            endWaiting(service);
         }
     }
 
@@ -283,8 +292,15 @@
     }
 
     private static void endWaiting(Service service) {
-        List<Waiting> left = List.copyOf(service.waiting);
-        service.waiting.clear();
-        left.forEach(waiting -> waiting.found().complete(Optional.empty()));
+        endWaitingSince(service, Long.MAX_VALUE);
+    }
+
+    /** Ends the requests that have waited since a time or longer: no node is left that would take them. */
+    private static void endWaitingSince(Service service, long latestMillis) {
+        List<Waiting> ended = service.waiting.stream()
+                .filter(waiting -> waiting.sinceMillis() <= latestMillis)
+                .toList();
+        service.waiting.removeAll(ended);
+        ended.forEach(waiting -> waiting.found().complete(Optional.empty()));
     }
 }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/detour/DetourSimulationTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/detour/DetourSimulationTest.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -191,6 +192,31 @@
         assertEquals(toldMillis.size(), 1);
     }
 
+    @DataProvider
+    public Object[][] nodeCounts() {
+        return new Object[][] {{2}, {3}, {8}, {95}};
+    }
+
+    /** Nodes that say that they reach the workers, but have not taken the request, must not hold it to its deadline. */
+    @Test(dataProvider = "nodeCounts")
+    public void aRequestThatNoNodeHasTakenIsToldSoon(int nodeCount) {
+        Fleet fleet = new Fleet(nodeCount, 1);
+        Fleet.Node cut = fleet.nodes.get(0);
+        cut.cut(true);
+        fleet.network.run(1_000);
+        Set<String> others = fleet.nodes.stream()
+                .map(node -> node.id)
+                .filter(id -> !id.equals(cut.id))
+                .collect(Collectors.toSet());
+        Set<String> allButOne = others.stream().filter(id -> !id.equals("n1")).collect(Collectors.toSet());
+        List<Optional<String>> told = new ArrayList<>();
+        cut.exchange.find(SERVICE, others).thenAccept(told::add);
+        cut.exchange.find(SERVICE, allButOne).thenAccept(told::add);
+        fleet.network.run(1_000 + DetourExchange.MAX_SEARCH_MILLIS + 2 * TICK_MILLIS);
+        assertEquals(told.size(), 2, "requests that were told");
+        assertTrue(told.contains(Optional.<String>empty()), "a request that all nodes have turned away");
+    }
+
     @Test
     public void nothingIsAskedWhileNoNodeIsCutOff() {
         Fleet fleet = new Fleet(8, 1);
