--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
@@ -14,6 +14,7 @@
     private final Map<String, KeyWorkspace> workspacesByKey;
     private final boolean keyed;
     private final LatencyLanes lanes;
+    private final RequestRanks ranks;
 
     private RoutingConfiguration(Builder builder) {
         this.version = builder.version;
@@ -23,6 +24,7 @@
         this.workspacesByKey = Map.copyOf(builder.workspacesByKey);
         this.keyed = builder.keyed;
         this.lanes = new LatencyLanes(routes.all());
+        this.ranks = new RequestRanks(routes.all(), workspacesByKey.values());
     }
 
     /**
@@ -62,6 +64,15 @@
         return lanes;
     }
 
+    /**
+     * Returns the ranks of requests.
+     *
+     * @return the ranks
+     */
+    public RequestRanks ranks() {
+        return ranks;
+    }
+
     /**
      * Returns a service.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AdmittedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AdmittedRequest.java
@@ -15,7 +15,8 @@
  * @param workspace the workspace, empty for an anonymous request
  * @param stream identifies the stream if the route streams
  * @param softwareVersion the software version that began the stream, empty for a stream that begins
- * @param priority the rank of the request, 0 is the most urgent
+ * @param priority the priority of the workspace or, if that has none, of the route; 0 is the most urgent
+ * @param rank the place of the request in the order of all; 0 is the most urgent
  */
 record AdmittedRequest(
         CallerRequestHeaders callerHeaders,
@@ -26,4 +27,5 @@
         String workspace,
         StreamKey stream,
         String softwareVersion,
-        int priority) {}
+        int priority,
+        int rank) {}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/DetourServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/DetourServer.java
@@ -199,7 +199,8 @@
                 terms.workspace(),
                 new StreamKey(terms.workspace(), terms.streamRequestId()),
                 terms.softwareVersion(),
-                terms.priority());
+                terms.priority(),
+                dispatcher.rank(terms.priority(), decided.name()));
     }
 
     /** Measures the delay of the event loop again and again until no request is in flight. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -236,6 +236,11 @@
         refresh();
     }
 
+    /** Returns the rank of a request by its priority and the name of its route, in the configuration in force. */
+    int rank(int priority, String route) {
+        return configuration == null ? priority : configuration.ranks().rank(priority, route);
+    }
+
     /** Applies the retry budget limits of the settings in force to all services. */
     void applyBounds() {
         NodeSettings.Bounds bounds = environment.settings().bounds();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -117,7 +117,7 @@
 
     @Override
     public int priority() {
-        return admitted.priority();
+        return admitted.rank();
     }
 
     PromptSegments prompt() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -120,7 +120,7 @@
      * @param configuration the configuration in force
      * @param route the route of the request
      * @param workspace the workspace, empty for an anonymous request
-     * @param priority the rank of the request, 0 is the most urgent
+     * @param priority the priority of the workspace or, if that has none, of the route; 0 is the most urgent
      */
     private record Admission(
             CallerRequestHeaders callerHeaders,
@@ -417,7 +417,8 @@
                                     admission.workspace(),
                                     stream,
                                     softwareVersion,
-                                    admission.priority()),
+                                    admission.priority(),
+                                    admission.configuration().ranks().rank(admission.priority(), route.name())),
                             RequestSource.CALLER,
                             request,
                             body,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -48,6 +48,8 @@
                 admitted.workspace(),
                 "priority",
                 admitted.priority(),
+                "rank",
+                admitted.rank(),
                 "lane",
                 admitted.lane(),
                 "left_ms",
