--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/EngineModel.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/EngineModel.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -14,13 +15,6 @@
  */
 final class EngineModel {
 
-    static final int SLOTS = 12;
-    private static final int QUEUE = 25;
-    private static final long KV_TOKENS = 770_904;
-    private static final double STEP_MILLIS = 3.55;
-    private static final double STEP_MILLIS_PER_REQUEST = 0.0462;
-    private static final double TOKENS_PER_MILLI = 157;
-    private static final int CHUNK_TOKENS = 4_096;
     /** Moving a prefix from another engine: its set-up, and the tokens per millisecond of the link. */
     private static final double COPY_SETUP_MILLIS = 5;
 
@@ -28,10 +22,12 @@
 
     private final Map<Long, Integer> cache = new LinkedHashMap<>(16, 0.75F, true);
     private final List<Run> runs = new ArrayList<>();
+    private final EngineSpec spec;
     private final Consumer<ModelRequest> onFirstEvent;
     private final Consumer<ModelRequest> onEnd;
     private double nextStepMillis;
     private long order;
+    private long lastUnshared;
     boolean up = true;
     long readTokens;
     long readAgainTokens;
@@ -54,14 +50,15 @@
         }
     }
 
-    EngineModel(Consumer<ModelRequest> onFirstEvent, Consumer<ModelRequest> onEnd) {
+    EngineModel(EngineSpec spec, Consumer<ModelRequest> onFirstEvent, Consumer<ModelRequest> onEnd) {
+        this.spec = spec;
         this.onFirstEvent = onFirstEvent;
         this.onEnd = onEnd;
     }
 
     /** Adds a request; returns false if the engine is down or full. */
     boolean add(ModelRequest request, EngineModel copyFrom) {
-        if (!up || runs.size() >= SLOTS + QUEUE) {
+        if (!up || runs.size() >= spec.slots() + spec.queue()) {
             return false;
         }
         order++;
@@ -98,6 +95,13 @@
         }
     }
 
+    private long usedTokens() {
+        return runs.stream()
+                .filter(run -> run.admitted)
+                .mapToLong(run -> run.request.prompt.tokens() + run.generated)
+                .sum();
+    }
+
     private void admit(double nowMillis) {
         List<Run> waiting = new ArrayList<>(runs.stream()
                 .filter(run -> !run.admitted)
@@ -105,21 +109,28 @@
                         .thenComparingLong(run -> run.order))
                 .toList());
         long admitted = runs.size() - waiting.size();
+        long used = usedTokens();
         for (Run run : waiting) {
-            if (admitted >= SLOTS) {
-                Run victim = runs.stream()
+            boolean fits = used == 0 || used + run.request.prompt.tokens() <= spec.kvTokens();
+            if (!fits || admitted >= spec.slots()) {
+                Optional<Run> least = runs.stream()
                         .filter(other -> other.admitted)
                         .max(Comparator.comparingInt((Run other) -> other.request.kind.priority())
-                                .thenComparingLong(other -> other.order))
-                        .orElseThrow();
-                if (victim.request.kind.priority() <= run.request.kind.priority()) {
+                                .thenComparingLong(other -> other.order));
+                if (least.isEmpty() || least.get().request.kind.priority() <= run.request.kind.priority()) {
                     return;
                 }
+                Run victim = least.get();
                 victim.admitted = false;
+                used -= victim.request.prompt.tokens() + victim.generated;
+                admitted--;
                 preemptions++;
-            } else {
-                admitted++;
+                if (used + run.request.prompt.tokens() > spec.kvTokens()) {
+                    return;
+                }
             }
+            admitted++;
+            used += run.request.prompt.tokens();
             start(run, nowMillis);
         }
     }
@@ -138,7 +149,7 @@
     }
 
     private double step() {
-        int budget = CHUNK_TOKENS;
+        int budget = spec.chunkTokens();
         int active = 0;
         List<ModelRequest> first = new ArrayList<>();
         List<ModelRequest> ended = new ArrayList<>();
@@ -163,17 +174,26 @@
             if (run.generated == 1) {
                 first.add(run.request);
             }
+            if (run.generated % spec.eventTokens() == 1) {
+                run.request.recordEvent(nextStepMillis);
+            }
             if (run.generated >= run.request.generatedTokens) {
                 ended.add(run.request);
                 runs.remove(run);
+                lastUnshared--;
+                cache.put(
+                        lastUnshared, run.request.prompt.tokens() - run.request.prompt.prefixTokens() + run.generated);
+                evict();
             }
         }
-        readTokens += CHUNK_TOKENS - budget;
+        readTokens += spec.chunkTokens() - budget;
         first.forEach(onFirstEvent);
         ended.forEach(onEnd);
         return active == 0
                 ? 1
-                : STEP_MILLIS + STEP_MILLIS_PER_REQUEST * active + (CHUNK_TOKENS - budget) / TOKENS_PER_MILLI;
+                : spec.stepMillis()
+                        + spec.stepMillisPerRequest() * active
+                        + (spec.chunkTokens() - budget) / spec.tokensPerMilli();
     }
 
     private void cachePrefix(ModelRequest request) {
@@ -182,13 +202,18 @@
             return;
         }
         cache.put(prompt.prefixHash(), prompt.prefixTokens());
+        evict();
+    }
+
+    /** Requests in flight with the same prefix share it; what they do not share takes room from what is cached. */
+    private void evict() {
         long used = runs.stream()
                 .filter(run -> run.admitted)
-                .mapToLong(run -> run.request.prompt.tokens() + run.generated)
+                .mapToLong(run -> run.request.prompt.tokens() - run.request.prompt.prefixTokens() + run.generated)
                 .sum();
         long cached = cache.values().stream().mapToLong(Integer::longValue).sum();
         var eldest = cache.entrySet().iterator();
-        while (cached > KV_TOKENS - used && eldest.hasNext()) {
+        while (cached > spec.kvTokens() - used && eldest.hasNext()) {
             cached -= eldest.next().getValue();
             eldest.remove();
         }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ExchangeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ExchangeWay.java
@@ -25,6 +25,7 @@
     private static final long DISPATCH_MILLIS = 10;
     private static final double WAIT_SHARE = 0.35;
 
+    private final int slots;
     private final Actions actions;
     private final List<Node> nodes = new ArrayList<>();
     private final Map<ModelRequest, Sent> sent = new HashMap<>();
@@ -34,16 +35,21 @@
 
     /** One node. */
     private static final class Node {
-        private final ServiceWorkers workers = ModelWorkers.create();
+        private final ServiceWorkers workers;
         private final RequestQueue<ModelRequest> queue = new RequestQueue<>();
         private final Map<String, List<Long>> read = new HashMap<>();
         private int nextPeer;
+
+        Node(EngineSpec engine) {
+            this.workers = ModelWorkers.create(engine);
+        }
     }
 
-    ExchangeWay(int nodeCount, Actions actions, Random random) {
+    ExchangeWay(int nodeCount, EngineSpec engine, Actions actions, Random random) {
+        this.slots = engine.slots();
         this.actions = actions;
         for (int index = 0; index < nodeCount; index++) {
-            Node node = new Node();
+            Node node = new Node(engine);
             node.nextPeer = random.nextInt(nodeCount);
             nodes.add(node);
         }
@@ -163,7 +169,7 @@
 
     @Override
     public void workers(List<Integer> serving, long nowMillis) {
-        nodes.forEach(node -> ModelWorkers.update(node.workers, serving));
+        nodes.forEach(node -> ModelWorkers.update(node.workers, serving, slots));
     }
 
     @Override
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/HomeWay.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.core.forward.OutlierDetector;
 import io.lagoonseam.core.forward.WorkerLoad;
+import io.lagoonseam.core.placement.ExpectedAnswer;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.placement.PlacementHome;
 import io.lagoonseam.core.placement.PlacementKey;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.function.Supplier;
 
 /**
  * One home places the requests of all nodes. Messages take time, and reports are gathered before they are sent. Without
@@ -25,12 +27,14 @@
     private static final long NODE_TIMEOUT_MILLIS = 80;
 
     private final Actions actions;
+    private final int slots;
+    private final Supplier<PlacementHome> homeFactory;
     private final long messageMillis;
     private final long gatherMillis;
     private final EventSchedule events = new EventSchedule();
     private final Map<Long, ModelRequest> requests = new HashMap<>();
     private final Map<ModelRequest, Sent> sent = new LinkedHashMap<>();
-    private PlacementHome home = new PlacementHome(ModelWorkers.create());
+    private PlacementHome home;
     private List<Integer> serving = List.of();
     private long homeUpAtMillis;
     private long lastNumber;
@@ -38,7 +42,10 @@
 
     private record Sent(long number, int worker, long unreadTokens, long sentMillis) {}
 
-    HomeWay(Actions actions, long messageMillis, long gatherMillis) {
+    HomeWay(Supplier<PlacementHome> homeFactory, int slots, Actions actions, long messageMillis, long gatherMillis) {
+        this.homeFactory = homeFactory;
+        this.home = homeFactory.get();
+        this.slots = slots;
         this.actions = actions;
         this.messageMillis = messageMillis;
         this.gatherMillis = gatherMillis;
@@ -73,7 +80,9 @@
                                 key(number, request),
                                 request.kind.priority(),
                                 request.demand(request.kind.homeLane(), OptionalInt.of(request.kind.priority())),
-                                submittedMillis + waitMillis),
+                                submittedMillis + waitMillis,
+                                new ExpectedAnswer(
+                                        request.generatedTokens, request.firstMillis + request.kind.deadlineMillis())),
                         nowMillis),
                 nowMillis);
     }
@@ -84,7 +93,7 @@
             int worker = ModelWorkers.index(granted.workerId());
             long sentMillis = nowMillis + messageMillis;
             if (request.ended) {
-                home.recordEnd(key(number, request));
+                home.release(key(number, request));
                 return;
             }
             sent.put(request, new Sent(number, worker, granted.unreadTokens(), sentMillis));
@@ -145,7 +154,7 @@
                     home.recordOutcome(
                             ModelWorkers.id(worker), "n" + request.node, OutlierDetector.Outcome.SILENT, nowMillis);
                 }
-                home.recordEnd(key(entry.number, request));
+                home.recordEnd(key(entry.number, request), nowMillis);
             });
         }
     }
@@ -153,7 +162,7 @@
     @Override
     public void workers(List<Integer> nowServing, long nowMillis) {
         serving = List.copyOf(nowServing);
-        ModelWorkers.update(home.workers(), serving);
+        ModelWorkers.update(home.workers(), serving, slots);
         home.workersChanged();
     }
 
@@ -161,8 +170,8 @@
     @Override
     public void killHome(long nowMillis) {
         homeUpAtMillis = nowMillis + NODE_TIMEOUT_MILLIS;
-        home = new PlacementHome(ModelWorkers.create());
-        ModelWorkers.update(home.workers(), serving);
+        home = homeFactory.get();
+        ModelWorkers.update(home.workers(), serving, slots);
         List<ModelRequest> inFlight = new ArrayList<>(sent.keySet());
         List<ModelRequest> waiting = requests.values().stream()
                 .filter(request -> !sent.containsKey(request) && !request.ended)
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelRequest.java
@@ -17,6 +17,8 @@
     boolean retried;
     boolean ended;
     long firstEventMillis = -1;
+    private double lastEventMillis = -1;
+    private double longestGapMillis;
 
     ModelRequest(RequestKind kind, int node, long firstMillis, PromptShape prompt, int generatedTokens) {
         this.kind = kind;
@@ -26,6 +28,17 @@
         this.generatedTokens = generatedTokens;
     }
 
+    void recordEvent(double atMillis) {
+        if (lastEventMillis >= 0) {
+            longestGapMillis = Math.max(longestGapMillis, atMillis - lastEventMillis);
+        }
+        lastEventMillis = atMillis;
+    }
+
+    boolean inTime() {
+        return firstEventMillis - firstMillis <= kind.objectiveMillis() && longestGapMillis <= kind.gapMillis();
+    }
+
     WorkerDemand demand(Lane lane, OptionalInt homePriority) {
         return new WorkerDemand(
                 prompt,
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelWorkers.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/ModelWorkers.java
@@ -21,21 +21,22 @@
         return Integer.parseInt(id.substring(1));
     }
 
-    static ServiceWorkers create() {
+    static ServiceWorkers create(EngineSpec engine) {
         ServiceWorkers workers =
                 new ServiceWorkers(new PrefixChooser(), new LeastLoadedChooser(1), PermitSource.UNLIMITED);
         workers.modelEngine(true);
+        workers.kvCapacityTokens(engine.kvTokens());
         return workers;
     }
 
-    static void update(ServiceWorkers workers, List<Integer> serving) {
+    static void update(ServiceWorkers workers, List<Integer> serving, int slots) {
         workers.workers().keySet().removeIf(id -> !serving.contains(index(id)));
         for (int worker : serving) {
             workers.workers()
                     .computeIfAbsent(
                             id(worker),
                             id -> workers.newState(new UpstreamRecord(
-                                    id, 1, "llm", "v1", "10.0.0." + worker, 80, "a", EngineModel.SLOTS, false, 1)));
+                                    id, 1, "llm", "v1", "10.0.0." + worker, 80, "a", slots, false, 1)));
         }
         LatencyLanes.assignWorkers(workers.workers().values());
     }
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementExperiment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementExperiment.java
@@ -13,12 +13,17 @@
 public final class PlacementExperiment implements Experiment {
 
     private static final List<PlacementScenario> SCENARIOS = List.of(
-            new PlacementScenario("calm", 95, 47, 1, 0, 0),
-            new PlacementScenario("cold burst", 6, 47, 2.3, 0.34, 0),
-            new PlacementScenario("cold burst", 17, 13, 2.3, 0.34, 0),
-            new PlacementScenario("cold burst", 95, 47, 2.3, 0.34, 0),
-            new PlacementScenario("cold burst, home dies", 95, 47, 2.3, 0.34, 4_000),
-            new PlacementScenario("cold burst", 300, 47, 2.3, 0.34, 0));
+            PlacementScenario.longPrompts("calm", 95, 47, 1, 0, 0),
+            PlacementScenario.longPrompts("cold burst", 6, 47, 2.3, 0.34, 0),
+            PlacementScenario.longPrompts("cold burst", 17, 13, 2.3, 0.34, 0),
+            PlacementScenario.longPrompts("cold burst", 95, 47, 2.3, 0.34, 0),
+            PlacementScenario.longPrompts("cold burst, home dies", 95, 47, 2.3, 0.34, 4_000),
+            PlacementScenario.longPrompts("cold burst", 300, 47, 2.3, 0.34, 0),
+            PlacementScenario.shortDeadlines("short deadlines x 1", 1, 0.3),
+            PlacementScenario.shortDeadlines("short deadlines x 1.5", 1.5, 0.3),
+            PlacementScenario.shortDeadlines("short deadlines x 2", 2, 0.3),
+            PlacementScenario.shortDeadlines("short deadlines x 3", 3, 0.3),
+            PlacementScenario.shortDeadlines("short deadlines x 5", 5, 0.3));
 
     @Override
     public String name() {
@@ -34,10 +39,11 @@
     public ExperimentResult run(ExperimentContext context) {
         ObjectNode fields = new ObjectMapper().createObjectNode();
         fields.put("experiment", name()).put("seed", context.seed());
-        StringBuilder report = new StringBuilder("# placement\n\nSeed " + context.seed()
-                + ". Virtual clock. By class: share of callers answered in time, then late, refused and lost.\n\n"
-                + "| load | nodes x workers | way | digest | reply | tip | read / needed, M tokens | preempted | at full"
-                + " workers | messages/s |\n|---|---|---|---|---|---|---|---|---|---|\n");
+        StringBuilder report = new StringBuilder(
+                "# placement\n\nSeed " + context.seed()
+                        + ". Virtual clock. By class: share of callers answered in time, then late, refused and lost.\n\n"
+                        + "| load | nodes x workers | way | digest | reply | tip | read / needed, M tokens | preempted | at full"
+                        + " workers | messages/s | served in the burst | again after, ms |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n");
         for (PlacementScenario scenario : SCENARIOS) {
             for (PlacementModel.Way way : PlacementModel.Way.values()) {
                 PlacementModel.Result result = new PlacementModel(scenario, way, context.seed()).run();
@@ -59,7 +65,7 @@
     private static String row(String load, String size, PlacementModel.Way way, PlacementModel.Result result) {
         return String.format(
                 Locale.ROOT,
-                "| %s | %s | %s | %s | %s | %s | %.1f / %.1f | %d | %d | %d |%n",
+                "| %s | %s | %s | %s | %s | %s | %.1f / %.1f | %d | %d | %d | %d | %d |%n",
                 load,
                 size,
                 label(way),
@@ -70,7 +76,9 @@
                 result.neededTokens() / 1e6,
                 result.preemptions(),
                 result.rejected(),
-                result.messages() / 20);
+                result.messages() / 20,
+                result.servedInBurst(),
+                result.recoveryMillis());
     }
 
     private static String cell(Map<String, PlacementModel.ClassCount> classes, String name) {
--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/experiment/placement/PlacementModel.java
@@ -2,7 +2,10 @@
 
 import io.lagoonseam.core.forward.PromptShape;
 import io.lagoonseam.core.forward.RetryAfter;
+import io.lagoonseam.core.placement.OverloadRules;
+import io.lagoonseam.core.placement.PlacementHome;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,6 +18,11 @@
 final class PlacementModel {
 
     private static final long DURATION_MILLIS = 20_000;
+    private static final long SECOND_MILLIS = 1_000;
+
+    /** The share of the callers of a second from which they count as served again. */
+    private static final double RECOVERED_SHARE = 0.9;
+
     private static final long BURST_BEGIN_MILLIS = 500;
     private static final long BURST_END_MILLIS = 9_000;
     private static final long LOSS_BEGIN_MILLIS = 2_600;
@@ -32,7 +40,10 @@
     private final EventSchedule events = new EventSchedule();
     private final Set<Long> prefixesRead = new HashSet<>();
     private final Map<String, ClassCount> counts = new HashMap<>();
+    private final PlacementWay.Actions actions;
     private final PlacementWay way;
+    private final int[] asked = new int[(int) (DURATION_MILLIS / SECOND_MILLIS)];
+    private final int[] served = new int[asked.length];
     private long nowMillis;
     private long rejected;
     private long firstReads;
@@ -43,6 +54,8 @@
         EXCHANGE,
         /** A home decides. */
         HOME,
+        /** A home decides, without rules for overload. */
+        HOME_WITHOUT_RULES,
         /** A home decides without any delay of messages. */
         HOME_WITHOUT_DELAY
     }
@@ -69,6 +82,8 @@
      * @param preemptions the number of preemptions
      * @param rejected the number of requests that arrived at a full worker
      * @param messages the number of messages between nodes
+     * @param recoveryMillis how long after the burst more than a tenth of the callers were not served, in milliseconds
+     * @param servedInBurst the callers that came in the burst and were served
      */
     record Result(
             Map<String, ClassCount> classes,
@@ -76,19 +91,31 @@
             long neededTokens,
             long preemptions,
             long rejected,
-            long messages) {}
+            long messages,
+            long recoveryMillis,
+            int servedInBurst) {}
 
     PlacementModel(PlacementScenario scenario, Way way, long seed) {
         this.scenario = scenario;
         this.random = new Random(seed);
-        PlacementWay.Actions actions = new ModelActions();
+        this.actions = new ModelActions();
         Map<Way, PlacementWay> ways = new EnumMap<>(Way.class);
-        ways.put(Way.EXCHANGE, new ExchangeWay(scenario.nodes(), actions, new Random(seed)));
-        ways.put(Way.HOME, new HomeWay(actions, 1, 20));
-        ways.put(Way.HOME_WITHOUT_DELAY, new HomeWay(actions, 0, 0));
+        ways.put(Way.EXCHANGE, new ExchangeWay(scenario.nodes(), scenario.engine(), actions, new Random(seed)));
+        ways.put(Way.HOME, home(OverloadRules.ALL, 1, 20));
+        ways.put(Way.HOME_WITHOUT_RULES, home(OverloadRules.NONE, 1, 20));
+        ways.put(Way.HOME_WITHOUT_DELAY, home(OverloadRules.ALL, 0, 0));
         this.way = ways.get(way);
     }
 
+    private PlacementWay home(OverloadRules rules, long messageMillis, long gatherMillis) {
+        return new HomeWay(
+                () -> new PlacementHome(ModelWorkers.create(scenario.engine()), rules),
+                scenario.engine().slots(),
+                actions,
+                messageMillis,
+                gatherMillis);
+    }
+
     private final class ModelActions implements PlacementWay.Actions {
         @Override
         public void send(ModelRequest request, int worker, int copyFrom, long atMillis) {
@@ -138,7 +165,8 @@
 
     private void onEnd(ModelRequest request) {
         request.ended = true;
-        if (request.firstEventMillis - request.firstMillis <= request.kind.objectiveMillis()) {
+        served(request);
+        if (request.inTime()) {
             count(request).inTime++;
         } else {
             count(request).late++;
@@ -146,16 +174,31 @@
         way.onEnd(request, workerOf.remove(request), false, nowMillis);
     }
 
+    private void served(ModelRequest request) {
+        served[(int) (request.firstMillis / SECOND_MILLIS)]++;
+    }
+
+    /** Returns how long after the burst more than a tenth of the callers of a second were not served. */
+    private long recoveryMillis() {
+        int last = (int) (BURST_END_MILLIS / SECOND_MILLIS) - 1;
+        for (int second = last + 1; second < asked.length; second++) {
+            if (served[second] < RECOVERED_SHARE * asked[second]) {
+                last = second;
+            }
+        }
+        return Math.max(0, (last + 1) * SECOND_MILLIS - BURST_END_MILLIS);
+    }
+
     private ClassCount count(ModelRequest request) {
         return counts.computeIfAbsent(request.kind.name(), name -> new ClassCount());
     }
 
     Result run() {
         for (int index = 0; index < scenario.workers(); index++) {
-            engines.add(new EngineModel(this::onFirstEvent, this::onEnd));
+            engines.add(new EngineModel(scenario.engine(), this::onFirstEvent, this::onEnd));
         }
         way.workers(serving(), 0);
-        for (RequestKind kind : RequestKind.MIX) {
+        for (RequestKind kind : scenario.mix()) {
             arrivals(kind);
         }
         events.at(LOSS_BEGIN_MILLIS, this::loseWorkers);
@@ -177,7 +220,10 @@
                 firstReads,
                 engines.stream().mapToLong(engine -> engine.preemptions).sum(),
                 rejected,
-                way.messages());
+                way.messages(),
+                recoveryMillis(),
+                Arrays.stream(served, 0, (int) (BURST_END_MILLIS / SECOND_MILLIS))
+                        .sum());
     }
 
     private List<Integer> serving() {
@@ -206,8 +252,8 @@
 
     private void arrivals(RequestKind kind) {
         double time = 0;
-        // callers of the last three seconds would not be answered within the run
-        while (time < DURATION_MILLIS - 3_000) {
+        // callers of the last four seconds would not be answered within the run
+        while (time < DURATION_MILLIS - 4_000) {
             boolean burst = kind.priority() == 2 && time >= BURST_BEGIN_MILLIS && time < BURST_END_MILLIS;
             double perMilli = kind.perSecond() * scenario.workers() * (burst ? scenario.burst() : 1) / 1_000;
             time += -Math.log(1 - random.nextDouble()) / perMilli;
@@ -215,6 +261,7 @@
             ModelRequest request = request(kind, arrival);
             events.at(arrival, () -> {
                 count(request).asked++;
+                asked[(int) (nowMillis / SECOND_MILLIS)]++;
                 way.submit(request, nowMillis);
             });
             events.at(arrival + kind.deadlineMillis(), () -> giveUp(request));
@@ -222,7 +269,7 @@
     }
 
     private void giveUp(ModelRequest request) {
-        if (request.ended || request.firstEventMillis >= 0) {
+        if (request.ended) {
             return;
         }
         request.ended = true;
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/experiment/placement/PlacementModelTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/experiment/placement/PlacementModelTest.java
@@ -11,9 +11,10 @@
  */
 public class PlacementModelTest {
 
-    private static final PlacementScenario SMALL = new PlacementScenario("cold burst", 17, 13, 2.3, 0.34, 0);
-    private static final PlacementScenario LARGE = new PlacementScenario("cold burst", 95, 47, 2.3, 0.34, 0);
-    private static final PlacementScenario HOME_DIES = new PlacementScenario("home dies", 95, 47, 2.3, 0.34, 4_000);
+    private static final PlacementScenario SMALL = PlacementScenario.longPrompts("cold burst", 17, 13, 2.3, 0.34, 0);
+    private static final PlacementScenario LARGE = PlacementScenario.longPrompts("cold burst", 95, 47, 2.3, 0.34, 0);
+    private static final PlacementScenario HOME_DIES =
+            PlacementScenario.longPrompts("home dies", 95, 47, 2.3, 0.34, 4_000);
 
     private static PlacementModel.Result run(PlacementScenario scenario, PlacementModel.Way way, long seed) {
         return new PlacementModel(scenario, way, seed).run();
@@ -57,4 +58,48 @@
         assertTrue(inTime(result, "tip") >= 0.95, "tips " + inTime(result, "tip"));
         assertTrue(inTime(result, "reply") >= 0.95, "replies " + inTime(result, "reply"));
     }
+
+    /** Engines with many slots before callers with short deadlines, under more work than they can do. */
+    public static class Overload {
+
+        private static final double[] BURSTS = {1, 1.5, 2, 3, 5};
+
+        private static final long MAX_RECOVERY_MILLIS = 2_000;
+
+        /** The more callers came, the fewer were served: engines worked for callers who had left. */
+        @Test
+        public void moreCallersThanCanBeServedDoNotLowerTheNumberThatIs() {
+            int most = 0;
+            for (double burst : BURSTS) {
+                PlacementModel.Result result =
+                        run(PlacementScenario.shortDeadlines("burst", burst, 0), PlacementModel.Way.HOME, 1);
+                most = Math.max(most, result.servedInBurst());
+                assertTrue(result.servedInBurst() >= 0.9 * most, result.servedInBurst() + " served at " + burst);
+                assertTrue(
+                        result.recoveryMillis() <= MAX_RECOVERY_MILLIS,
+                        "served again after " + result.recoveryMillis() + " ms at " + burst);
+            }
+        }
+
+        @Test
+        public void urgentCallersAreServedThroughTheBurst() {
+            for (double burst : BURSTS) {
+                PlacementModel.Result result =
+                        run(PlacementScenario.shortDeadlines("burst", burst, 0), PlacementModel.Way.HOME, 1);
+                assertTrue(inTime(result, "tip") >= 0.95, "tips " + inTime(result, "tip") + " at " + burst);
+                assertTrue(inTime(result, "reply") >= 0.95, "replies " + inTime(result, "reply") + " at " + burst);
+            }
+        }
+
+        @Test
+        public void theRulesServeMoreCallersAlsoAfterLostWorkers() {
+            for (double lost : new double[] {0, 0.3}) {
+                PlacementScenario scenario = PlacementScenario.shortDeadlines("burst", 2, lost);
+                int with = run(scenario, PlacementModel.Way.HOME, 1).servedInBurst();
+                int without =
+                        run(scenario, PlacementModel.Way.HOME_WITHOUT_RULES, 1).servedInBurst();
+                assertTrue(with > without, with + " served with the rules, " + without + " without");
+            }
+        }
+    }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/CachedSegments.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/CachedSegments.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.core.forward;
 
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -20,22 +21,15 @@
     /** The maximum number of segments tracked per worker: more than a worker's KV cache holds. */
     private static final int MAX_SEGMENTS = 4_096;
 
-    private final Map<Long, Long> lastUsedMillis = new LinkedHashMap<>(16, 0.75F, true) {
-        private static final long serialVersionUID = 1L;
+    /** The segments, the least recently used first. */
+    private final Map<Long, Use> uses = new LinkedHashMap<>();
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-            boolean evict = size() > MAX_SEGMENTS;
-            if (evict) {
-                read.remove(eldest.getKey());
-            }
-            return evict;
-        }
-    };
-
-    /** The segments of {@link #lastUsedMillis} that have been read, not only requested. */
+    /** The segments of {@link #uses} that have been read, not only requested. */
     private final Set<Long> read = new HashSet<>();
 
+    private long tokens;
+    private long lastUnshared = Long.MIN_VALUE;
+
     private long allCachedUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -48,14 +42,64 @@
         allCachedUntilMillis = untilMillis;
     }
 
+    private record Use(long lastMillis, int tokens) {}
+
     /**
-     * Records the use of a segment.
+     * Records the use of a segment of unknown size.
      *
      * @param prefixHash the prefix hash of a prompt
      * @param nowMillis the current time, in milliseconds
      */
     public void recordUse(long prefixHash, long nowMillis) {
-        lastUsedMillis.put(prefixHash, nowMillis);
+        Use known = uses.get(prefixHash);
+        recordUse(prefixHash, known == null ? 0 : known.tokens(), nowMillis);
+    }
+
+    /**
+     * Records the use of a segment.
+     *
+     * @param prefixHash the prefix hash of a prompt
+     * @param prefixTokens its size, in tokens
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordUse(long prefixHash, int prefixTokens, long nowMillis) {
+        Use before = uses.remove(prefixHash);
+        uses.put(prefixHash, new Use(nowMillis, prefixTokens));
+        tokens += prefixTokens - (before == null ? 0 : before.tokens());
+        if (uses.size() > MAX_SEGMENTS) {
+            evictEldest();
+        }
+    }
+
+    /**
+     * Records that an answer has ended: its part of the prompt that no other request shares, and what was generated,
+     * stay in the memory of the worker like shared segments do.
+     *
+     * @param unsharedTokens their size, in tokens
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordUnshared(int unsharedTokens, long nowMillis) {
+        lastUnshared++;
+        recordUse(lastUnshared, unsharedTokens, nowMillis);
+    }
+
+    /**
+     * Forgets the least recently used segments, which the worker has evicted to make room.
+     *
+     * @param roomTokens the memory of the worker that requests in flight leave, in tokens
+     */
+    public void evictBeyond(long roomTokens) {
+        while (tokens > roomTokens && !uses.isEmpty()) {
+            evictEldest();
+        }
+    }
+
+    private void evictEldest() {
+        Iterator<Map.Entry<Long, Use>> eldest = uses.entrySet().iterator();
+        Map.Entry<Long, Use> evicted = eldest.next();
+        tokens -= evicted.getValue().tokens();
+        read.remove(evicted.getKey());
+        eldest.remove();
     }
 
     /**
@@ -88,8 +132,7 @@
      * @return false after {@link #MAX_READING_MILLIS}, since the request may have been cancelled
      */
     public boolean isBeingRead(long prefixHash, long nowMillis) {
-        Long lastUsed = lastUsedMillis.get(prefixHash);
-        return lastUsed != null && nowMillis - lastUsed <= MAX_READING_MILLIS && !read.contains(prefixHash);
+        return usedWithin(MAX_READING_MILLIS, prefixHash, nowMillis) && !read.contains(prefixHash);
     }
 
     /**
@@ -100,10 +143,11 @@
      * @return true if the segment was used within the last 30 s or all segments are still presumed to be cached
      */
     public boolean contains(long prefixHash, long nowMillis) {
-        if (nowMillis < allCachedUntilMillis) {
-            return true;
-        }
-        Long lastUsed = lastUsedMillis.get(prefixHash);
-        return lastUsed != null && nowMillis - lastUsed <= RETENTION_MILLIS;
+        return nowMillis < allCachedUntilMillis || usedWithin(RETENTION_MILLIS, prefixHash, nowMillis);
+    }
+
+    private boolean usedWithin(long millis, long prefixHash, long nowMillis) {
+        Use use = uses.get(prefixHash);
+        return use != null && nowMillis - use.lastMillis() <= millis;
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ChoiceRequest.java
@@ -20,6 +20,7 @@
  * @param acceptsLate whether the fastest worker is to be chosen even if the objective will be missed there
  * @param goesOn whether the request goes on with a stream that has begun, for which few workers may be left: neither
  *     its lane nor the memory that prompts should leave free limits the choice
+ * @param room tells whether a worker has room for the prompt besides what it has to do already
  * @param nowMillis the current time, in milliseconds
  */
 public record ChoiceRequest(
@@ -33,6 +34,7 @@
         OptionalInt homePriority,
         boolean acceptsLate,
         boolean goesOn,
+        PromptRoom room,
         long nowMillis) {
 
     /** Makes an immutable copy of the set. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LatencyLanes.java
@@ -28,9 +28,10 @@
     private static final long LANE_HASH = Rendezvous.hash("lanes");
 
     /**
-     * At a home, streams are sensitive if their gap objective is at most this share of the longest of their service.
+     * At a home, streams are sensitive if their gap objective is at most this share of the longest of their service:
+     * long prompts are sent to workers as long as streams with the longest gaps bear them there.
      */
-    private static final double SENSITIVE_GAP_SHARE = 0.25;
+    private static final double SENSITIVE_GAP_SHARE = 1.0 / 3;
 
     private final Map<String, Long> longestObjectiveMillis = new HashMap<>();
     private final Map<String, Long> longestGapMillis = new HashMap<>();
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -53,7 +53,7 @@
         UpstreamState preferred = Collections.min(available, byRank);
         Choice first = choice(request, preferred, prefix);
         boolean mayPrefer = !prefix.beingRead() || holds(request, preferred);
-        if (mayPrefer && inTime(request, expectedMillis(request, first))) {
+        if (mayPrefer && inTime(request, first) && hasRoom(request, first)) {
             return Optional.of(first);
         }
         return spill(request, available, prefix);
@@ -65,16 +65,14 @@
      */
     private static Optional<Choice> spill(ChoiceRequest request, List<UpstreamState> available, Prefix prefix) {
         Optional<Choice> holder = fastest(request, available, prefix, true);
-        if (holder.isPresent() && inTime(request, expectedMillis(request, holder.get()))) {
+        if (holder.isPresent() && inTime(request, holder.get())) {
             return holder;
         }
         if (prefix.source().isEmpty() && prefix.beingRead() && !request.acceptsLate()) {
             return Optional.empty();
         }
         return fastest(request, available, prefix, false)
-                .filter(choice -> request.acceptsLate()
-                        || inTime(request, expectedMillis(request, choice))
-                        || idle(request, choice.worker()));
+                .filter(choice -> request.acceptsLate() || inTime(request, choice) || idle(request, choice.worker()));
     }
 
     private static Optional<Choice> fastest(
@@ -94,7 +92,7 @@
             double millis = expectedMillis(request, choice);
             boolean better = millis < bestMillis
                     || millis == bestMillis && best != null && byRank.compare(worker, best.worker()) < 0;
-            if (better) {
+            if (better && hasRoom(request, choice)) {
                 best = choice;
                 bestMillis = millis;
             }
@@ -173,6 +171,19 @@
                 && occupiedTokens + request.prompt().tokens() > PROMPT_KV_SHARE * request.kvCapacityTokens();
     }
 
+    private static boolean inTime(ChoiceRequest request, Choice choice) {
+        return inTime(request, expectedMillis(request, choice));
+    }
+
+    /**
+     * Returns whether the worker has room for the prompt. An idle worker accepts any, and a late request any worker.
+     */
+    private static boolean hasRoom(ChoiceRequest request, Choice choice) {
+        return request.acceptsLate()
+                || request.room().has(choice.worker(), choice.unreadTokens())
+                || idle(request, choice.worker());
+    }
+
     private static boolean inTime(ChoiceRequest request, double millis) {
         double limitMillis = request.objectiveLeftMillis() > 0
                 ? OBJECTIVE_SHARE * request.objectiveLeftMillis()
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/ServiceWorkers.java
@@ -55,6 +55,15 @@
         this.kvCapacityTokens = value;
     }
 
+    /**
+     * Returns the KV-cache capacity of each worker.
+     *
+     * @return the capacity in tokens; 0 if it is unknown
+     */
+    public long kvCapacityTokens() {
+        return kvCapacityTokens;
+    }
+
     /**
      * Sets the maximum number of requests that are sent to a worker at the same time.
      *
@@ -146,7 +155,20 @@
      * @return the choice, or empty if the request should wait
      */
     public Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, long nowMillis) {
-        return choose(demand, false, nowMillis);
+        return choose(demand, PromptRoom.UNLIMITED, nowMillis);
+    }
+
+    /**
+     * Chooses a worker for a request as {@link #choose(WorkerDemand, long)} does, among those with room for its prompt
+     * and those that are idle.
+     *
+     * @param demand what the request asks
+     * @param room tells which workers have room
+     * @param nowMillis the current time, in milliseconds
+     * @return the choice, or empty if the request should wait
+     */
+    public Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, PromptRoom room, long nowMillis) {
+        return choose(demand, room, false, nowMillis);
     }
 
     /**
@@ -158,26 +180,29 @@
      * @return the choice, or empty if no worker has a free slot
      */
     public Optional<UpstreamChooser.Choice> chooseEvenIfLate(WorkerDemand demand, long nowMillis) {
-        return choose(demand, true, nowMillis);
+        return choose(demand, PromptRoom.UNLIMITED, true, nowMillis);
     }
 
-    private Optional<UpstreamChooser.Choice> choose(WorkerDemand demand, boolean acceptsLate, long nowMillis) {
+    private Optional<UpstreamChooser.Choice> choose(
+            WorkerDemand demand, PromptRoom room, boolean acceptsLate, long nowMillis) {
         Collection<UpstreamState> candidates = candidates(demand, nowMillis);
         Optional<UpstreamChooser.Choice> fresh =
-                choose(demand, demand.triedWorkers(), candidates, acceptsLate, nowMillis);
+                choose(demand, demand.triedWorkers(), candidates, room, acceptsLate, nowMillis);
         return fresh.isPresent() || demand.triedWorkers().isEmpty()
                 ? fresh
-                : choose(demand, Set.of(), candidates, acceptsLate, nowMillis);
+                : choose(demand, Set.of(), candidates, room, acceptsLate, nowMillis);
     }
 
     private Optional<UpstreamChooser.Choice> choose(
             WorkerDemand demand,
             Set<String> excluded,
             Collection<UpstreamState> candidates,
+            PromptRoom room,
             boolean acceptsLate,
             long nowMillis) {
         UpstreamChooser chooser = modelEngine ? engineChooser : plainChooser;
-        return chooser.choose(demand.choiceRequest(kvCapacityTokens, excluded, acceptsLate, nowMillis), candidates);
+        return chooser.choose(
+                demand.choiceRequest(kvCapacityTokens, excluded, acceptsLate, room, nowMillis), candidates);
     }
 
     /** Returns the candidates. A paused worker, or one without a permit, is none, even if there is no other. */
@@ -252,6 +277,19 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns the prompt tokens that the workers of a lane read in a millisecond.
+     *
+     * @param lane the lane
+     * @return the sum over its workers; 0 without workers
+     */
+    public double tokensPerMilli(Lane lane) {
+        return workers.values().stream()
+                .filter(worker -> worker.lane() == lane)
+                .mapToDouble(worker -> 1 / worker.firstEventTime().readingMillis(1))
+                .sum();
+    }
+
     /**
      * Returns the expected time in which the workers of a lane read the prompts that they already have.
      *
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/WorkerDemand.java
@@ -63,7 +63,7 @@
     }
 
     ChoiceRequest choiceRequest(
-            long kvCapacityTokens, Set<String> excludedWorkers, boolean acceptsLate, long nowMillis) {
+            long kvCapacityTokens, Set<String> excludedWorkers, boolean acceptsLate, PromptRoom room, long nowMillis) {
         return new ChoiceRequest(
                 prompt,
                 lane,
@@ -75,6 +75,7 @@
                 homePriority(),
                 acceptsLate || goesOn(),
                 goesOn(),
+                room,
                 nowMillis);
     }
 }
--- /dev/null
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/AnswerPace.java
@@ -0,0 +1,76 @@
+package io.lagoonseam.core.placement;
+
+/**
+ * Estimates the pace of answers at the engines of a service, while an engine reads prompts and while it reads none,
+ * from the answers that have ended (least squares). Callers that state a wrong number of tokens shift the estimate by
+ * the mean of their error only. Not thread-safe.
+ */
+final class AnswerPace {
+
+    /** The paces before anything has been observed, in tokens per millisecond: those of present engines. */
+    private static final double INITIAL_WHILE_READING = 1.0 / 40;
+
+    private static final double INITIAL_OTHERWISE = 1.0 / 8;
+
+    /** The weight of the initial paces, as observed times in milliseconds. */
+    private static final double INITIAL_READING_MILLIS = 4_000;
+
+    private static final double INITIAL_OTHER_MILLIS = 1_000;
+
+    /** Answers with fewer tokens tell little. */
+    private static final int MIN_TOKENS = 16;
+
+    /** What is left of the weight of earlier answers after each further one. */
+    private static final double RETAINED = 0.995;
+
+    /** The least ratio of both paces. */
+    private static final double MIN_RATIO = 1.2;
+
+    private double readingSquares;
+    private double otherSquares;
+    private double products;
+    private double readingTokens;
+    private double otherTokens;
+
+    /**
+     * Records the end of an answer.
+     *
+     * @param tokens the tokens that its caller stated
+     * @param readingMillis the time of the answer in which its engine read prompts, in milliseconds
+     * @param otherMillis the rest of its time, in milliseconds
+     */
+    void observe(int tokens, double readingMillis, double otherMillis) {
+        if (tokens < MIN_TOKENS) {
+            return;
+        }
+        readingSquares = RETAINED * readingSquares + readingMillis * readingMillis;
+        otherSquares = RETAINED * otherSquares + otherMillis * otherMillis;
+        products = RETAINED * products + readingMillis * otherMillis;
+        readingTokens = RETAINED * readingTokens + readingMillis * tokens;
+        otherTokens = RETAINED * otherTokens + otherMillis * tokens;
+    }
+
+    /**
+     * Returns for how long an engine may read prompts beside an answer.
+     *
+     * @param tokens the tokens of the answer
+     * @param leftMillis the time for which its caller waits, in milliseconds
+     * @return the time in milliseconds, infinite if the answer ends in any case, negative if it cannot end in time
+     */
+    double spareMillis(int tokens, double leftMillis) {
+        double initialReading = INITIAL_READING_MILLIS * INITIAL_READING_MILLIS;
+        double initialOther = INITIAL_OTHER_MILLIS * INITIAL_OTHER_MILLIS;
+        double readingReading = readingSquares + initialReading;
+        double otherOther = otherSquares + initialOther;
+        double reading = readingTokens + initialReading * INITIAL_WHILE_READING;
+        double other = otherTokens + initialOther * INITIAL_OTHERWISE;
+        double determinant = readingReading * otherOther - products * products;
+        double paceWhileReading = Math.max(0, (reading * otherOther - other * products) / determinant);
+        double paceOtherwise = (other * readingReading - reading * products) / determinant;
+        paceOtherwise = Math.max(paceOtherwise, MIN_RATIO * Math.max(paceWhileReading, INITIAL_WHILE_READING / 10));
+        if (paceWhileReading * leftMillis >= tokens) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return (paceOtherwise * leftMillis - tokens) / (paceOtherwise - paceWhileReading);
+    }
+}
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -3,6 +3,7 @@
 import io.lagoonseam.core.forward.Lane;
 import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.OutlierDetector;
+import io.lagoonseam.core.forward.PromptRoom;
 import io.lagoonseam.core.forward.RequestQueue;
 import io.lagoonseam.core.forward.ServiceWorkers;
 import io.lagoonseam.core.forward.UpstreamChooser;
@@ -12,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +37,15 @@
     /** The priority of requests that nodes have placed by themselves. */
     private static final int UNKNOWN_PRIORITY = 0;
 
+    /** How late reports of nodes arrive, in milliseconds. */
+    private static final long REPORT_MILLIS = 60;
+
+    /**
+     * The requests of one lane and priority for which no worker was found after which a pass over the queue tries no
+     * further ones of that kind: the workers are full, and each try costs a look at all of them.
+     */
+    private static final int MAX_FAILED_TRIES = 12;
+
     private final ServiceWorkers workers;
     private final RequestQueue<PlacementRequest> queue = new RequestQueue<>();
     private final Map<PlacementKey, PlacementRequest> queued = new HashMap<>();
@@ -49,6 +60,10 @@
     private int lowestPlacedPriority = -1;
 
     private long lowestPlacedMillis;
+    private final OverloadRules rules;
+    private final QueueLoad queueLoad = new QueueLoad();
+    private final AnswerPace answerPace = new AnswerPace();
+    private final Map<UpstreamState, EngineWork> work = new IdentityHashMap<>();
     private double queuedTokens;
     private boolean changed;
 
@@ -56,31 +71,55 @@
     private static final class Placement {
         private final UpstreamState worker;
         private final long prefixHash;
-        private final boolean hasPrefix;
+        private final long prefixTokens;
         private final long promptTokens;
         private final long tokensAhead;
         private final int priority;
+        private final ExpectedAnswer answer;
         private long unreadTokens;
         private boolean read;
+        private Optional<Double> readingLimit = Optional.empty();
+        private long firstEventMillis;
+        private double readBeforeMillis;
 
         Placement(
                 UpstreamState worker,
                 long prefixHash,
-                boolean hasPrefix,
+                long prefixTokens,
                 long promptTokens,
                 long tokensAhead,
                 int priority,
+                ExpectedAnswer answer,
                 long unreadTokens) {
             this.priority = priority;
+            this.answer = answer;
             this.worker = worker;
             this.prefixHash = prefixHash;
-            this.hasPrefix = hasPrefix;
+            this.prefixTokens = prefixTokens;
             this.promptTokens = promptTokens;
             this.tokensAhead = tokensAhead;
             this.unreadTokens = unreadTokens;
         }
+
+        boolean hasPrefix() {
+            return prefixHash != 0;
+        }
+
+        long unsharedTokens() {
+            return promptTokens - prefixTokens + answer.tokens();
+        }
     }
 
+    /** What an engine does beside what its state tells. */
+    private static final class EngineWork {
+        private final ReadingBudget budget = new ReadingBudget();
+        /** The tokens of the requests in flight that no other request shares. */
+        private long unsharedTokens;
+    }
+
+    /** Queued requests that find a worker under the same conditions. */
+    private record QueuedKind(Lane lane, int priority, boolean late, boolean goesOn) {}
+
     /**
      * A decision about a request that had been queued.
      *
@@ -95,7 +134,18 @@
      * @param workers the workers of the service, which only this home places requests on through this object
      */
     public PlacementHome(ServiceWorkers workers) {
+        this(workers, OverloadRules.ALL);
+    }
+
+    /**
+     * Creates a home without requests.
+     *
+     * @param workers the workers of the service, which only this home places requests on through this object
+     * @param rules what it does about overload
+     */
+    public PlacementHome(ServiceWorkers workers, OverloadRules rules) {
         this.workers = workers;
+        this.rules = rules;
     }
 
     /**
@@ -116,7 +166,7 @@
      * @return the decision
      */
     public PlacementDecision submit(PlacementRequest request, long nowMillis) {
-        Optional<PlacementDecision> granted = place(request, nowMillis);
+        Optional<PlacementDecision> granted = waitsBehind(request) ? Optional.empty() : place(request, nowMillis);
         long unreadTokens = granted.isPresent() && granted.get() instanceof PlacementDecision.Granted found
                 ? found.unreadTokens()
                 : unsharedTokens(request);
@@ -124,16 +174,42 @@
         if (granted.isPresent()) {
             return granted.get();
         }
-        if (request.latestStartMillis() <= nowMillis) {
+        if (request.latestStartMillis() <= nowMillis || comesInVain(request, nowMillis)) {
             return refusal(request, nowMillis);
         }
         queue.add(request, request.priority(), request.latestStartMillis());
         queued.put(request.key(), request);
         queuedTokens += unsharedTokens(request);
+        queueLoad.add(request.demand().lane(), request.priority(), unsharedTokens(request));
         remember(request.key());
         return new PlacementDecision.Queued();
     }
 
+    /** Returns whether so many requests come before a new one that no worker is sought for it yet. */
+    private boolean waitsBehind(PlacementRequest request) {
+        return rules.boundsScans()
+                && !request.demand().goesOn()
+                && queueLoad.requestsBefore(request.demand().lane(), request.priority()) >= MAX_FAILED_TRIES;
+    }
+
+    /**
+     * Returns whether the prompts before a new request take longer than it can wait. Its caller learns at once when to
+     * come back. A request that less urgent ones have been placed before waits all the same.
+     */
+    private boolean comesInVain(PlacementRequest request, long nowMillis) {
+        if (!waitsBehind(request) || lessUrgentPlaced(request, nowMillis)) {
+            return false;
+        }
+        Lane lane = request.demand().lane();
+        double tokensPerMilli = workers.tokensPerMilli(lane);
+        long tokensBefore = queueLoad.tokensBefore(lane, request.priority());
+        return tokensPerMilli > 0 && tokensBefore / tokensPerMilli > request.latestStartMillis() - nowMillis;
+    }
+
+    private boolean lessUrgentPlaced(PlacementRequest request, long nowMillis) {
+        return lowestPlacedPriority > request.priority() && nowMillis - lowestPlacedMillis <= LESS_URGENT_PLACED_MILLIS;
+    }
+
     /** Returns whether queued requests should be dispatched, since the state of a worker has changed. */
     public boolean dispatchDue() {
         return changed && !queued.isEmpty();
@@ -148,7 +224,16 @@
     public List<LateDecision> dispatch(long nowMillis) {
         changed = false;
         List<LateDecision> decisions = new ArrayList<>();
+        Map<QueuedKind, Integer> failures = new HashMap<>();
         queue.dispatch(request -> {
+            QueuedKind kind = new QueuedKind(
+                    request.demand().lane(),
+                    request.priority(),
+                    overdue.contains(request.key()),
+                    request.demand().goesOn());
+            if (rules.boundsScans() && failures.getOrDefault(kind, 0) >= MAX_FAILED_TRIES) {
+                return false;
+            }
             Optional<PlacementDecision> granted = overdue.contains(request.key())
                     ? place(request, workers.chooseEvenIfLate(request.demand(), nowMillis), nowMillis)
                     : place(request, nowMillis);
@@ -156,6 +241,9 @@
                 dequeue(request);
                 decisions.add(new LateDecision(request.key(), decision));
             });
+            if (granted.isEmpty()) {
+                failures.merge(kind, 1, Integer::sum);
+            }
             return granted.isPresent();
         });
         for (PlacementRequest expired : queue.expire(nowMillis)) {
@@ -171,9 +259,7 @@
      * ones.
      */
     private Optional<PlacementDecision> onExpired(PlacementRequest request, long nowMillis) {
-        boolean lessUrgentPlaced = lowestPlacedPriority > request.priority()
-                && nowMillis - lowestPlacedMillis <= LESS_URGENT_PLACED_MILLIS;
-        if (lessUrgentPlaced) {
+        if (lessUrgentPlaced(request, nowMillis)) {
             Optional<PlacementDecision> late =
                     place(request, workers.chooseEvenIfLate(request.demand(), nowMillis), nowMillis);
             if (late.isPresent()) {
@@ -195,6 +281,7 @@
         overdue.remove(request.key());
         queued.remove(request.key());
         queuedTokens -= unsharedTokens(request);
+        queueLoad.remove(request.demand().lane(), request.priority(), unsharedTokens(request));
     }
 
     private static int unsharedTokens(PlacementRequest request) {
@@ -215,7 +302,47 @@
     }
 
     private Optional<PlacementDecision> place(PlacementRequest request, long nowMillis) {
-        return place(request, workers.choose(request.demand(), nowMillis), nowMillis);
+        return place(request, workers.choose(request.demand(), room(request, nowMillis), nowMillis), nowMillis);
+    }
+
+    /** Returns which workers have room for the prompt of a request, so that it and the streams there end in time. */
+    private PromptRoom room(PlacementRequest request, long nowMillis) {
+        if (!rules.keepsEnds() || !request.answer().known() || request.demand().goesOn()) {
+            return PromptRoom.UNLIMITED;
+        }
+        return (worker, unreadTokens) -> {
+            ReadingBudget budget = budget(worker);
+            double pendingMillis = readingMillis(worker, worker.pendingTokens(nowMillis));
+            double promptMillis = readingMillis(worker, unreadTokens);
+            return spareMillis(request, pendingMillis + promptMillis, nowMillis) >= 0
+                    && budget.allows(request.priority(), pendingMillis, promptMillis, nowMillis);
+        };
+    }
+
+    /** Returns for how long an engine may read prompts beside an answer that begins after some time. */
+    private double spareMillis(PlacementRequest request, double beginsAfterMillis, long nowMillis) {
+        return answerPace.spareMillis(
+                request.answer().tokens(), request.answer().endMillis() - nowMillis - beginsAfterMillis);
+    }
+
+    private double readingMillis(UpstreamState worker, long tokens) {
+        return budget(worker).readingMillis(tokens, worker.firstEventTime().readingMillis(tokens));
+    }
+
+    private ReadingBudget budget(UpstreamState worker) {
+        return work(worker).budget;
+    }
+
+    private EngineWork work(UpstreamState worker) {
+        return work.computeIfAbsent(worker, key -> new EngineWork());
+    }
+
+    /** Forgets the prefixes for which the requests in flight at a worker leave no room. */
+    private void evict(UpstreamState worker) {
+        long capacityTokens = workers.kvCapacityTokens();
+        if (rules.keepsEnds() && capacityTokens > 0) {
+            worker.cachedSegments().evictBeyond(capacityTokens - work(worker).unsharedTokens);
+        }
     }
 
     private void recordPriority(int priority, long nowMillis) {
@@ -237,17 +364,23 @@
         var prompt = request.demand().prompt();
         workers.observePrompt(
                 request.demand().lane(), prompt.tokens(), choice.get().unreadTokens());
-        begin(
-                request.key(),
-                new Placement(
-                        worker,
-                        prompt.prefixHash(),
-                        prompt.prefixTokens() > 0,
-                        prompt.tokens(),
-                        tokensAhead,
-                        request.priority(),
-                        choice.get().unreadTokens()),
-                nowMillis);
+        Placement placement = new Placement(
+                worker,
+                prompt.prefixTokens() > 0 ? prompt.prefixHash() : 0,
+                prompt.prefixTokens(),
+                prompt.tokens(),
+                tokensAhead,
+                request.priority(),
+                request.answer(),
+                choice.get().unreadTokens());
+        if (rules.keepsEnds() && request.answer().known()) {
+            double beginsAfterMillis =
+                    readingMillis(worker, tokensAhead + choice.get().unreadTokens());
+            double spareMillis = spareMillis(request, beginsAfterMillis, nowMillis);
+            placement.readingLimit =
+                    Optional.of(budget(worker).add(request.priority(), beginsAfterMillis + spareMillis, nowMillis));
+        }
+        begin(request.key(), placement, nowMillis);
         return Optional.of(new PlacementDecision.Granted(
                 worker.record().id(),
                 choice.get().unreadTokens(),
@@ -266,9 +399,12 @@
     private void begin(PlacementKey key, Placement placement, long nowMillis) {
         placement.worker.started(placement.unreadTokens, placement.promptTokens);
         placement.worker.addPending(placement.priority, placement.unreadTokens);
-        if (placement.hasPrefix) {
-            placement.worker.cachedSegments().recordUse(placement.prefixHash, nowMillis);
+        budget(placement.worker).begin(placement.unreadTokens, nowMillis);
+        work(placement.worker).unsharedTokens += placement.unsharedTokens();
+        if (placement.hasPrefix()) {
+            placement.worker.cachedSegments().recordUse(placement.prefixHash, (int) placement.prefixTokens, nowMillis);
         }
+        evict(placement.worker);
         placements.put(key, placement);
         remember(key);
     }
@@ -289,7 +425,15 @@
         if (worker != null && !placements.containsKey(key)) {
             begin(
                     key,
-                    new Placement(worker, prefixHash, prefixHash != 0, promptTokens, 0, UNKNOWN_PRIORITY, unreadTokens),
+                    new Placement(
+                            worker,
+                            prefixHash,
+                            0,
+                            promptTokens,
+                            0,
+                            UNKNOWN_PRIORITY,
+                            ExpectedAnswer.UNKNOWN,
+                            unreadTokens),
                     nowMillis);
         }
     }
@@ -307,13 +451,17 @@
             return;
         }
         placement.read = true;
+        ReadingBudget budget = budget(placement.worker);
+        budget.read(placement.unreadTokens, nowMillis);
+        placement.firstEventMillis = nowMillis;
+        placement.readBeforeMillis = budget.doneMillis(nowMillis);
         // before a less urgent prompt that was begun, an unknown part of that was read first
         boolean exact = placement.worker.pendingTokens(nowMillis)
                 == placement.worker.pendingTokens(nowMillis, OptionalInt.of(placement.priority));
         if (exact) {
             placement.worker.firstEventTime().observe(placement.tokensAhead + placement.unreadTokens, afterMillis);
         }
-        if (placement.hasPrefix) {
+        if (placement.hasPrefix()) {
             placement.worker.cachedSegments().recordRead(placement.prefixHash, nowMillis);
         }
         endReading(placement);
@@ -321,11 +469,32 @@
     }
 
     /**
-     * Records that a request no longer needs a place: it has ended, was not sent, or no longer waits.
+     * Records that a request has ended.
+     *
+     * @param key identifies the request; unknown ones are ignored
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordEnd(PlacementKey key, long nowMillis) {
+        Placement placement = placements.get(key);
+        if (placement != null && placement.read) {
+            placement.worker.cachedSegments().recordUnshared((int) placement.unsharedTokens(), nowMillis);
+        }
+        // an answer that was cut at the end of its time tells nothing of its pace
+        boolean whole = placement != null && nowMillis < placement.answer.endMillis() - REPORT_MILLIS;
+        if (whole && placement.read && placement.answer.known()) {
+            double readMillis = budget(placement.worker).doneMillis(nowMillis) - placement.readBeforeMillis;
+            double answerMillis = nowMillis - placement.firstEventMillis;
+            answerPace.observe(placement.answer.tokens(), readMillis, Math.max(0, answerMillis - readMillis));
+        }
+        release(key);
+    }
+
+    /**
+     * Forgets a request that no longer needs a place: it was not sent, or no longer waits.
      *
      * @param key identifies the request; unknown ones are ignored
      */
-    public void recordEnd(PlacementKey key) {
+    public void release(PlacementKey key) {
         PlacementRequest waiting = queued.get(key);
         if (waiting != null) {
             queue.remove(waiting);
@@ -333,8 +502,13 @@
         }
         Placement placement = placements.remove(key);
         if (placement != null) {
+            if (!placement.read) {
+                budget(placement.worker).withdraw(placement.unreadTokens);
+            }
+            work(placement.worker).unsharedTokens -= placement.unsharedTokens();
             endReading(placement);
             placement.worker.ended(placement.promptTokens);
+            placement.readingLimit.ifPresent(limit -> budget(placement.worker).remove(placement.priority, limit));
             changed = true;
         }
         forget(key);
@@ -388,7 +562,7 @@
     public void retain(String node, Set<Long> numbers) {
         for (PlacementKey key : Set.copyOf(keysByNode.getOrDefault(node, Set.of()))) {
             if (!numbers.contains(key.number())) {
-                recordEnd(key);
+                release(key);
             }
         }
     }
@@ -396,6 +570,7 @@
     /** Records that the workers have changed, so that queued requests may find a place. */
     public void workersChanged() {
         changed = true;
+        work.keySet().retainAll(workers.workers().values());
         assignLanes();
     }
 
@@ -410,7 +585,7 @@
      * @param node the id of the node
      */
     public void dropNode(String node) {
-        Set.copyOf(keysByNode.getOrDefault(node, Set.of())).forEach(this::recordEnd);
+        Set.copyOf(keysByNode.getOrDefault(node, Set.of())).forEach(this::release);
     }
 
     private void remember(PlacementKey key) {
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementRequest.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementRequest.java
@@ -10,5 +10,13 @@
  * @param demand what it asks of a worker
  * @param latestStartMillis the time at which it leaves the queue unplaced, on the home's monotonic clock, in
  *     milliseconds
+ * @param answer what is known of its answer
  */
-public record PlacementRequest(PlacementKey key, int priority, WorkerDemand demand, long latestStartMillis) {}
+public record PlacementRequest(
+        PlacementKey key, int priority, WorkerDemand demand, long latestStartMillis, ExpectedAnswer answer) {
+
+    /** Creates a request of whose answer nothing is known. */
+    public PlacementRequest(PlacementKey key, int priority, WorkerDemand demand, long latestStartMillis) {
+        this(key, priority, demand, latestStartMillis, ExpectedAnswer.UNKNOWN);
+    }
+}
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixChooserTest.java
@@ -46,6 +46,7 @@
                 OptionalInt.empty(),
                 false,
                 false,
+                PromptRoom.UNLIMITED,
                 0);
     }
 
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/PrefixMemoryTest.java
@@ -144,6 +144,7 @@
                                         OptionalInt.empty(),
                                         false,
                                         false,
+                                        PromptRoom.UNLIMITED,
                                         nowMillis),
                                 List.of(request.worker));
                 if (choice.isPresent()) {
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -11,6 +11,7 @@
 import io.lagoonseam.core.forward.PrefixChooser;
 import io.lagoonseam.core.forward.PromptShape;
 import io.lagoonseam.core.forward.ServiceWorkers;
+import io.lagoonseam.core.forward.UpstreamChooser;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
 import io.lagoonseam.core.forward.WorkerDemand;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 import org.testng.annotations.Test;
 
@@ -28,8 +30,15 @@
 
     private static final int SLOTS = 12;
 
+    /** The most looks for a worker in a pass over the queue: some for each lane and priority. */
+    private static final int MAX_LOOKS = 24;
+
     private static PlacementHome home(int workers) {
-        ServiceWorkers set = new ServiceWorkers(new PrefixChooser(), new LeastLoadedChooser(1), PermitSource.UNLIMITED);
+        return home(workers, new PrefixChooser());
+    }
+
+    private static PlacementHome home(int workers, UpstreamChooser chooser) {
+        ServiceWorkers set = new ServiceWorkers(chooser, new LeastLoadedChooser(1), PermitSource.UNLIMITED);
         set.modelEngine(true);
         for (int index = 0; index < workers; index++) {
             UpstreamRecord record =
@@ -40,18 +49,28 @@
         return new PlacementHome(set);
     }
 
+    private static PlacementRequest answered(long number, int priority, ExpectedAnswer answer) {
+        WorkerDemand demand = new WorkerDemand(
+                new PromptShape(number, 0, 10_000), Lane.TOLERANT, 5_000, 5_000, "a", priority, true, Set.of(), "");
+        return new PlacementRequest(new PlacementKey("n1", number), priority, demand, 500, answer);
+    }
+
     private static PlacementRequest digest(long number, long prefix, long nowMillis) {
+        return digest(number, prefix, 2, nowMillis);
+    }
+
+    private static PlacementRequest digest(long number, long prefix, int priority, long nowMillis) {
         WorkerDemand demand = new WorkerDemand(
                 new PromptShape(prefix, 13_000, 16_700),
                 Lane.TOLERANT,
                 1_200,
                 nowMillis + 1_200,
                 "a",
-                2,
+                priority,
                 true,
                 Set.of(),
                 "");
-        return new PlacementRequest(new PlacementKey("n" + number % 95, number), 2, demand, nowMillis + 420);
+        return new PlacementRequest(new PlacementKey("n" + number % 95, number), priority, demand, nowMillis + 420);
     }
 
     private static PlacementRequest tip(long number, int priority, long nowMillis) {
@@ -127,7 +146,7 @@
             UpstreamState reader = home.workers()
                     .workers()
                     .get(granted(home.submit(cancelled, 0)).workerId());
-            home.recordEnd(cancelled.key());
+            home.release(cancelled.key());
             reader.started(150_000, 150_000);
             reader.addPending(0, 150_000);
             assertTrue(home.submit(digest(2, 5, 1_400), 1_400) instanceof PlacementDecision.Queued);
@@ -155,7 +174,7 @@
             for (long number = 1; ; number++) {
                 PlacementRequest request = tip(number, 1, 0);
                 if (!(home.submit(request, 0) instanceof PlacementDecision.Granted)) {
-                    home.recordEnd(request.key());
+                    home.release(request.key());
                     return placed;
                 }
                 placed.add(request.key());
@@ -169,7 +188,7 @@
             List<PlacementKey> placed = fill(home);
             assertTrue(home.submit(tip(9_001, 2, 0), 0) instanceof PlacementDecision.Queued);
             assertTrue(home.submit(tip(9_002, 0, 0), 0) instanceof PlacementDecision.Queued);
-            home.recordEnd(placed.get(0));
+            home.release(placed.get(0));
             assertTrue(home.dispatchDue());
             List<PlacementHome.LateDecision> decisions = home.dispatch(10);
             assertEquals(decisions.size(), 1);
@@ -180,17 +199,66 @@
         public void aRequestThatCannotBeginInTimeIsRefusedWithTheBacklog() {
             PlacementHome home = home(3);
             fill(home);
+            List<PlacementDecision> decisions = new ArrayList<>();
             for (long number = 9_000; number < 9_200; number++) {
-                home.submit(tip(number, 1, 0), 0);
+                decisions.add(home.submit(tip(number, 1, 0), 0));
             }
-            List<PlacementHome.LateDecision> decisions = home.dispatch(91);
+            decisions.removeIf(decision -> decision instanceof PlacementDecision.Queued);
+            home.dispatch(91).forEach(late -> decisions.add(late.decision()));
             assertEquals(decisions.size(), 200);
-            for (PlacementHome.LateDecision late : decisions) {
-                assertTrue(late.decision() instanceof PlacementDecision.Refused);
+            for (PlacementDecision decision : decisions) {
+                assertTrue(decision instanceof PlacementDecision.Refused);
             }
             assertEquals(home.queuedRequests(), 0);
         }
 
+        /** A pass over a long queue at a full fleet kept the home busy for longer than nodes wait for an answer. */
+        @Test
+        public void aPassOverALongQueueLooksForFewWorkers() {
+            AtomicInteger looks = new AtomicInteger();
+            PlacementHome home = home(60, (request, workers) -> {
+                looks.incrementAndGet();
+                return Optional.empty();
+            });
+            for (long number = 0; number < 500; number++) {
+                home.submit(digest(number, number, 0), 0);
+            }
+            assertTrue(looks.get() <= MAX_LOOKS, looks + " looks for arrivals");
+            assertTrue(home.queuedRequests() > MAX_LOOKS, home.queuedRequests() + " wait");
+            looks.set(0);
+            home.dispatch(10);
+            assertTrue(looks.get() <= MAX_LOOKS, looks + " looks in a pass");
+        }
+
+        /** Its caller learned only after its longest wait that nobody would serve it. */
+        @Test
+        public void aRequestBehindMoreWorkThanItCanWaitForIsRefusedOnArrival() {
+            PlacementHome home = home(3, (request, workers) -> Optional.empty());
+            PlacementDecision last = new PlacementDecision.Queued();
+            for (long number = 0; number < 100 && last instanceof PlacementDecision.Queued; number++) {
+                last = home.submit(digest(number, number, 0), 0);
+            }
+            assertTrue(last instanceof PlacementDecision.Refused refused && refused.backlogMillis() > 0, "got " + last);
+            assertTrue(home.submit(digest(900, 900, 0, 0), 0) instanceof PlacementDecision.Queued, "more urgent");
+        }
+
+        /** Streams ended at their deadlines, since their engines read one prompt after the other beside them. */
+        @Test
+        public void aPromptIsHeldBackWhereAStreamWouldMissItsEnd() {
+            PlacementHome home = home(1);
+            ExpectedAnswer longAnswer = new ExpectedAnswer(208, 4_000);
+            ExpectedAnswer shortAnswer = new ExpectedAnswer(10, 4_000);
+            assertTrue(home.submit(answered(1, 2, longAnswer), 0) instanceof PlacementDecision.Granted);
+            int granted = 0;
+            for (long number = 2; number < 16; number++) {
+                granted +=
+                        home.submit(answered(number, 2, shortAnswer), 0) instanceof PlacementDecision.Granted ? 1 : 0;
+            }
+            assertTrue(granted >= 1 && granted < 13, granted + " prompts beside it");
+            assertTrue(
+                    home.submit(answered(16, 1, shortAnswer), 0) instanceof PlacementDecision.Granted, "more urgent");
+        }
+
         /** An urgent caller must not be refused while less urgent ones begin, even if it will be late. */
         @Test
         public void anUrgentRequestIsPlacedLateRatherThanRefusedForLessUrgentOnes() {
@@ -228,7 +296,7 @@
             }
             assertTrue(home.submit(tip(500, 0, 0), 0) instanceof PlacementDecision.Queued);
             assertEquals(home.dispatch(95), List.of());
-            home.recordEnd(placed.get(0));
+            home.release(placed.get(0));
             List<PlacementHome.LateDecision> late = home.dispatch(200);
             assertEquals(late.get(0).key().number(), 500);
             granted(late.get(0).decision());
@@ -270,8 +338,8 @@
             List<PlacementKey> placed = fill(home);
             PlacementRequest waiting = tip(9_001, 0, 0);
             home.submit(waiting, 0);
-            home.recordEnd(waiting.key());
-            home.recordEnd(placed.get(0));
+            home.release(waiting.key());
+            home.release(placed.get(0));
             assertEquals(home.dispatch(10), List.of());
             assertEquals(home.queuedRequests(), 0);
         }
@@ -283,10 +351,14 @@
         @Test
         public void theRequestsOfANodeThatEndsAreForgotten() {
             PlacementHome home = home(3);
-            LongStream.range(0, 190).forEach(number -> home.submit(tip(number, 0, 0), 0));
-            int before = home.placedRequests() + home.queuedRequests();
+            home.submit(tip(7, 0, 0), 0);
+            LongStream.range(8, 8 + SLOTS).forEach(number -> home.submit(tip(number, 0, 0), 0));
+            assertTrue(home.submit(tip(102, 0, 0), 0) instanceof PlacementDecision.Queued);
+            int placed = home.placedRequests();
+            int queued = home.queuedRequests();
             home.dropNode("n7");
-            assertEquals(home.placedRequests() + home.queuedRequests(), before - 2);
+            assertEquals(home.placedRequests(), placed - 1);
+            assertEquals(home.queuedRequests(), queued - 1);
         }
 
         @Test
@@ -312,8 +384,8 @@
                     .get(granted(home.submit(request, 0)).workerId());
             home.recordFirstEvent(request.key(), 40, 40);
             home.recordFirstEvent(request.key(), 40, 40);
-            home.recordEnd(request.key());
-            home.recordEnd(request.key());
+            home.release(request.key());
+            home.release(request.key());
             home.recordFirstEvent(request.key(), 40, 40);
             assertEquals(worker.ownInFlight(), 0);
             assertEquals(worker.ownPendingTokens(), 0);
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/DetourServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/DetourServer.java
@@ -175,6 +175,7 @@
                 terms.ageMillis() + terms.remainingMillis(),
                 sent.prompt(),
                 sent.sharedParts(),
+                sent.answerTokens(),
                 terms.lastEventId(),
                 sent.resumedRequestId());
         RouteTerms decided = terms.route();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -120,6 +120,16 @@
         return admitted.rank();
     }
 
+    @Override
+    public int answerTokens() {
+        return kind().stream() ? admitted.callerHeaders().answerTokens() : 0;
+    }
+
+    @Override
+    public long leftMillis() {
+        return remainingMillis();
+    }
+
     PromptSegments prompt() {
         return admitted.callerHeaders().prompt();
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestLog.java
@@ -56,6 +56,8 @@
                 remainingMillis,
                 "prompt_tokens",
                 admitted.callerHeaders().prompt().tokens(),
+                "answer_tokens",
+                admitted.callerHeaders().answerTokens(),
                 "parts",
                 admitted.callerHeaders().sharedParts().stream()
                         .limit(MAX_LOGGED_PARTS)
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeLink.java
@@ -191,7 +191,9 @@
                 Math.max(0, demand.objectiveEndMillis() - nowMillis()),
                 waitMillis,
                 List.copyOf(demand.triedWorkers()),
-                demand.softwareVersion())));
+                demand.softwareVersion(),
+                request.answerTokens(),
+                request.leftMillis())));
     }
 
     void withdraw(PlacedRequest request) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/HomeServer.java
@@ -8,6 +8,7 @@
 import io.lagoonseam.core.forward.WorkerDemand;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
+import io.lagoonseam.core.placement.ExpectedAnswer;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.placement.PlacementHome;
 import io.lagoonseam.core.placement.PlacementKey;
@@ -53,6 +54,12 @@
 
     private static final long DECISION_TIMEOUT_MILLIS = 300;
 
+    /** The number of waiting requests up to which a pass over the queue is made for each batch with a request. */
+    private static final int SHORT_QUEUE = 12;
+
+    /** The least time between two passes over a longer queue for the sake of new requests, in milliseconds. */
+    private static final long LONG_QUEUE_INTERVAL_MILLIS = 10;
+
     /** How long a home that follows another one presumes that the workers cache each prefix, in milliseconds. */
     private static final long ASSUMED_CACHE_MILLIS = 8_000;
 
@@ -187,7 +194,7 @@
         PlacementHome home = served.home;
         batch.limits().forEach(onLimit);
         applyReports(home, sender, batch, nowMillis);
-        if (!batch.asks().isEmpty() && home.dispatchDue()) {
+        if (!batch.asks().isEmpty() && home.dispatchDue() && mayDispatch(served, nowMillis)) {
             dispatch(batch.service(), served, nowMillis);
         }
         List<Decided> decisions = new ArrayList<>();
@@ -203,7 +210,11 @@
                     Set.copyOf(ask.triedWorkers()),
                     ask.softwareVersion());
             PlacementRequest request = new PlacementRequest(
-                    new PlacementKey(sender, ask.number()), ask.priority(), demand, nowMillis + ask.waitMillis());
+                    new PlacementKey(sender, ask.number()),
+                    ask.priority(),
+                    demand,
+                    nowMillis + ask.waitMillis(),
+                    new ExpectedAnswer(ask.answerTokens(), nowMillis + ask.leftMillis()));
             decisions.add(new Decided(ask.number(), home.submit(request, nowMillis)));
         }
         if (home.queuedRequests() > 0) {
@@ -212,6 +223,12 @@
         return new Decisions(batch.service(), served.session, decisions);
     }
 
+    /** Returns whether a pass over the queue is short, or the last one long enough ago. */
+    private static boolean mayDispatch(ServedHome served, long nowMillis) {
+        return served.home.queuedRequests() <= SHORT_QUEUE
+                || nowMillis - served.lastDispatchMillis >= LONG_QUEUE_INTERVAL_MILLIS;
+    }
+
     private ServedHome begin(String service, Batch batch, long nowMillis) {
         log.record(
                 EventCode.HOME_BEGUN,
@@ -247,7 +264,7 @@
         batch.loads().forEach(load -> home.recordLoad(load.workerId(), load.load(), nowMillis));
         batch.outcomes()
                 .forEach(outcome -> home.recordOutcome(outcome.workerId(), sender, outcome.outcome(), nowMillis));
-        batch.ended().forEach(number -> home.recordEnd(new PlacementKey(sender, number)));
+        batch.ended().forEach(number -> home.recordEnd(new PlacementKey(sender, number), nowMillis));
     }
 
     /** Dispatches queued requests where that is due; called every 10 ms while requests wait, else every 250 ms. */
@@ -341,7 +358,7 @@
     private static void release(String node, Decisions decisions, ServedHome served) {
         for (Decided decided : decisions.decisions()) {
             if (decided.decision() instanceof PlacementDecision.Granted) {
-                served.home.recordEnd(new PlacementKey(node, decided.number()));
+                served.home.release(new PlacementKey(node, decided.number()));
             }
         }
     }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/PlacedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/placement/PlacedRequest.java
@@ -18,6 +18,12 @@
     /** Returns what it asks of a worker. */
     WorkerDemand demand();
 
+    /** Returns the tokens that its answer may have; 0 if unknown. */
+    int answerTokens();
+
+    /** Returns the time until its caller leaves, in milliseconds. */
+    long leftMillis();
+
     /** Called when the home has no worker for the request yet and has queued it. */
     void onQueued();
 
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/placement/LateDecisionTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/placement/LateDecisionTest.java
@@ -82,6 +82,16 @@
             return 1;
         }
 
+        @Override
+        public int answerTokens() {
+            return 0;
+        }
+
+        @Override
+        public long leftMillis() {
+            return 1_000;
+        }
+
         @Override
         public WorkerDemand demand() {
             return new WorkerDemand(
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageReader.java
@@ -51,6 +51,11 @@
         return size;
     }
 
+    /** Returns whether fields are left, which nodes of an earlier version do not send. */
+    boolean hasMore() {
+        return read(unpacker::hasNext);
+    }
+
     long number() {
         return read(unpacker::unpackLong);
     }
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/PlacementMessages.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/PlacementMessages.java
@@ -6,6 +6,7 @@
 import io.lagoonseam.core.forward.WorkerLoad;
 import io.lagoonseam.core.placement.PlacementDecision;
 import io.lagoonseam.core.ratelimit.LimitReport;
+import java.util.Iterator;
 import java.util.List;
 
 /**
@@ -33,6 +34,8 @@
      * @param waitMillis the longest time that it may wait at the home, in milliseconds
      * @param triedWorkers the ids of the workers that it was sent to before
      * @param softwareVersion the version of the software of the only workers that may be chosen, empty if each may be
+     * @param answerTokens the tokens that its answer may have; 0 if unknown, as from nodes of an earlier version
+     * @param leftMillis the time until its caller leaves, in milliseconds
      */
     public record Ask(
             long number,
@@ -43,7 +46,9 @@
             long objectiveLeftMillis,
             long waitMillis,
             List<String> triedWorkers,
-            String softwareVersion) {
+            String softwareVersion,
+            int answerTokens,
+            long leftMillis) {
 
         /** Copies the list. */
         public Ask {
@@ -74,7 +79,42 @@
                     reader.number(),
                     reader.number(),
                     reader.list(),
-                    reader.text());
+                    reader.text(),
+                    0,
+                    0);
+        }
+
+        private static void writeAnswer(MessageWriter writer, Ask ask) {
+            writer.number(ask.answerTokens).number(ask.leftMillis);
+        }
+
+        private Ask readAnswer(MessageReader reader) {
+            return new Ask(
+                    number,
+                    priority,
+                    prompt,
+                    lane,
+                    objectiveMillis,
+                    objectiveLeftMillis,
+                    waitMillis,
+                    triedWorkers,
+                    softwareVersion,
+                    (int) reader.number(),
+                    reader.number());
+        }
+
+        /** Adds what nodes of an earlier version neither send nor read: it stands at the end of a batch. */
+        private static List<Ask> withAnswers(List<Ask> asks, MessageReader reader) {
+            if (!reader.hasMore()) {
+                return asks;
+            }
+            Iterator<Ask> left = asks.iterator();
+            List<Ask> complete =
+                    reader.items(item -> left.hasNext() ? left.next().readAnswer(item) : null);
+            if (complete.size() != asks.size()) {
+                throw new IllegalArgumentException("malformed message: " + complete.size() + " answers");
+            }
+            return complete;
         }
     }
 
@@ -193,6 +233,7 @@
                                     .number(load.load().running())
                                     .number(load.load().waiting()))
                     .items(limits, MessageWriter::limit)
+                    .items(asks, Ask::writeAnswer)
                     .bytes();
         }
 
@@ -205,7 +246,7 @@
          */
         public static Batch decode(byte[] payload) {
             MessageReader reader = new MessageReader(payload, VERSION);
-            return new Batch(
+            Batch batch = new Batch(
                     reader.text(),
                     reader.text(),
                     reader.flag(),
@@ -218,6 +259,18 @@
                     reader.items(
                             item -> new Load(item.text(), new WorkerLoad((int) item.number(), (int) item.number()))),
                     reader.items(MessageReader::limit));
+            return new Batch(
+                    batch.service,
+                    batch.dataCentre,
+                    batch.servedBefore,
+                    batch.complete,
+                    Ask.withAnswers(batch.asks, reader),
+                    batch.placed,
+                    batch.firstEvents,
+                    batch.ended,
+                    batch.outcomes,
+                    batch.loads,
+                    batch.limits);
         }
     }
 
