--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/LocalDeployment.java
@@ -11,6 +11,7 @@
 import io.lagoonseam.entry.log.JsonLineLog;
 import io.lagoonseam.platform.HeaderProtocol;
 import io.lagoonseam.platform.HttpCollectionStore;
+import io.lagoonseam.platform.HttpUsagePlatform;
 import io.lagoonseam.platform.JsonRecordDecoder;
 import io.lagoonseam.platform.NodeSettingsReader;
 import io.lagoonseam.standin.link.CuttableLink;
@@ -220,7 +221,8 @@
                 environment,
                 new HttpCollectionStore(vertx, () -> current.get().store(), environment.events()),
                 cuttable ? links : new JsonRecordDecoder(),
-                Optional.empty());
+                Optional.empty(),
+                settings.usage().map(usage -> new HttpUsagePlatform(vertx, usage.platform())));
         await(vertx.deployVerticle(context -> node.start()));
         Node startedNode = new Node(vertx, node, settings);
         nodes.add(startedNode);
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
@@ -12,6 +12,7 @@
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.platform.HeaderProtocol;
 import io.lagoonseam.platform.HttpCollectionStore;
+import io.lagoonseam.platform.HttpUsagePlatform;
 import io.lagoonseam.platform.JsonRecordDecoder;
 import io.lagoonseam.platform.NodeSettingsReader;
 import io.vertx.core.Vertx;
@@ -98,7 +99,8 @@
                 environment,
                 new HttpCollectionStore(vertx, () -> current.get().store(), events),
                 new JsonRecordDecoder(),
-                metrics);
+                metrics,
+                settings.usage().map(usage -> new HttpUsagePlatform(vertx, usage.platform())));
         Signal.handle(
                 new Signal("TERM"),
                 signal -> vertx.runOnContext(nothing -> node.stop().onComplete(ended -> stopped.countDown())));
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -213,6 +213,19 @@
     /** A watch of the store ended without an answer; the collections are listed anew over new connections. */
     STORE_SILENT(717, EventLevel.WARNING, "A connection to the platform's store has gone silent"),
 
+    /** This node has taken a duty towards the platform. */
+    DUTY_TAKEN(721, EventLevel.INFO, "This node has taken a duty"),
+    /** This node has renewed a duty that it holds, and written what it has decided. */
+    DUTY_RENEWED(722, EventLevel.INFO, "This node has renewed a duty"),
+    /** This node has handed a duty over. */
+    DUTY_RELEASED(723, EventLevel.INFO, "This node has handed a duty over"),
+    /** A write of a duty's record was rejected, or its answer is missing; the record is read again. */
+    DUTY_WRITE_FAILED(724, EventLevel.WARNING, "A duty could not be taken or renewed"),
+    /** The platform has accepted the usage of a window. */
+    USAGE_REPORTED(725, EventLevel.INFO, "Usage has been reported"),
+    /** The platform has not confirmed the usage of a window, which is sent again. */
+    USAGE_NOT_REPORTED(726, EventLevel.WARNING, "Usage could not be reported"),
+
     /** A run-time check found that an invariant does not hold. */
     INVARIANT_VIOLATED(901, EventLevel.ERROR, "An invariant does not hold");
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/AnswerPace.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/AnswerPace.java
@@ -26,6 +26,9 @@
     /** The least ratio of both paces. */
     private static final double MIN_RATIO = 1.2;
 
+    /** How much slower than initially assumed an engine may be that reads prompts. */
+    private static final double MAX_SLOWDOWN = 10;
+
     private double readingSquares;
     private double otherSquares;
     private double products;
@@ -50,14 +53,8 @@
         otherTokens = RETAINED * otherTokens + otherMillis * tokens;
     }
 
-    /**
-     * Returns for how long an engine may read prompts beside an answer.
-     *
-     * @param tokens the tokens of the answer
-     * @param leftMillis the time for which its caller waits, in milliseconds
-     * @return the time in milliseconds, infinite if the answer ends in any case, negative if it cannot end in time
-     */
-    double spareMillis(int tokens, double leftMillis) {
+    /** Returns the present estimate. */
+    Paces paces() {
         double initialReading = INITIAL_READING_MILLIS * INITIAL_READING_MILLIS;
         double initialOther = INITIAL_OTHER_MILLIS * INITIAL_OTHER_MILLIS;
         double readingReading = readingSquares + initialReading;
@@ -65,12 +62,32 @@
         double reading = readingTokens + initialReading * INITIAL_WHILE_READING;
         double other = otherTokens + initialOther * INITIAL_OTHERWISE;
         double determinant = readingReading * otherOther - products * products;
-        double paceWhileReading = Math.max(0, (reading * otherOther - other * products) / determinant);
-        double paceOtherwise = (other * readingReading - reading * products) / determinant;
-        paceOtherwise = Math.max(paceOtherwise, MIN_RATIO * Math.max(paceWhileReading, INITIAL_WHILE_READING / 10));
-        if (paceWhileReading * leftMillis >= tokens) {
-            return Double.POSITIVE_INFINITY;
+        double whileReading = Math.max(0, (reading * otherOther - other * products) / determinant);
+        double otherwise = (other * readingReading - reading * products) / determinant;
+        return new Paces(
+                whileReading,
+                Math.max(otherwise, MIN_RATIO * Math.max(whileReading, INITIAL_WHILE_READING / MAX_SLOWDOWN)));
+    }
+
+    /**
+     * The pace of an answer.
+     *
+     * @param whileReading while its engine reads prompts, in tokens per millisecond
+     * @param otherwise while its engine reads none, in tokens per millisecond; more than while it reads
+     */
+    record Paces(double whileReading, double otherwise) {
+
+        /**
+         * Returns for how long an engine may read prompts beside an answer.
+         *
+         * @param tokens the tokens of the answer
+         * @param leftMillis the time for which its caller waits, in milliseconds
+         * @return the time in milliseconds, infinite if the answer ends in any case, negative if it cannot end in time
+         */
+        double spareMillis(int tokens, double leftMillis) {
+            return whileReading * leftMillis >= tokens
+                    ? Double.POSITIVE_INFINITY
+                    : (otherwise * leftMillis - tokens) / (otherwise - whileReading);
         }
-        return (paceOtherwise * leftMillis - tokens) / (paceOtherwise - paceWhileReading);
     }
 }
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -310,18 +310,20 @@
         if (!rules.keepsEnds() || !request.answer().known() || request.demand().goesOn()) {
             return PromptRoom.UNLIMITED;
         }
+        AnswerPace.Paces paces = answerPace.paces();
         return (worker, unreadTokens) -> {
             ReadingBudget budget = budget(worker);
             double pendingMillis = readingMillis(worker, worker.pendingTokens(nowMillis));
             double promptMillis = readingMillis(worker, unreadTokens);
-            return spareMillis(request, pendingMillis + promptMillis, nowMillis) >= 0
+            return spareMillis(paces, request, pendingMillis + promptMillis, nowMillis) >= 0
                     && budget.allows(request.priority(), pendingMillis, promptMillis, nowMillis);
         };
     }
 
     /** Returns for how long an engine may read prompts beside an answer that begins after some time. */
-    private double spareMillis(PlacementRequest request, double beginsAfterMillis, long nowMillis) {
-        return answerPace.spareMillis(
+    private static double spareMillis(
+            AnswerPace.Paces paces, PlacementRequest request, double beginsAfterMillis, long nowMillis) {
+        return paces.spareMillis(
                 request.answer().tokens(), request.answer().endMillis() - nowMillis - beginsAfterMillis);
     }
 
@@ -376,7 +378,7 @@
         if (rules.keepsEnds() && request.answer().known()) {
             double beginsAfterMillis =
                     readingMillis(worker, tokensAhead + choice.get().unreadTokens());
-            double spareMillis = spareMillis(request, beginsAfterMillis, nowMillis);
+            double spareMillis = spareMillis(answerPace.paces(), request, beginsAfterMillis, nowMillis);
             placement.readingLimit =
                     Optional.of(budget(worker).add(request.priority(), beginsAfterMillis + spareMillis, nowMillis));
         }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/AnswerPaceTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/AnswerPaceTest.java
@@ -24,31 +24,31 @@
 
     @Test
     public void anAnswerThatEndsWhileTheEngineReadsHasNoLimit() {
-        assertTrue(Double.isInfinite(observed(1).spareMillis(50, 3_000)));
+        assertTrue(Double.isInfinite(observed(1).paces().spareMillis(50, 3_000)));
     }
 
     @Test
     public void aLongAnswerLeavesTheTimeThatItDoesNotNeed() {
         // r / 50 + (3,000 - r) / 5 = 200 tokens
-        assertEquals(observed(1).spareMillis(200, 3_000), 2_222, 120);
+        assertEquals(observed(1).paces().spareMillis(200, 3_000), 2_222, 120);
     }
 
     @Test
     public void anAnswerThatCannotEndHasLessThanNothingToSpare() {
-        assertTrue(observed(1).spareMillis(200, 800) < 0);
+        assertTrue(observed(1).paces().spareMillis(200, 800) < 0);
     }
 
     /** Callers that state twice or half of what they get make no difference in the mean. */
     @Test
     public void countsThatAreOffByAFactorForAllAreLearnt() {
-        double expected = observed(1).spareMillis(200, 3_000);
-        assertEquals(observed(2).spareMillis(400, 3_000), expected, 150);
-        assertEquals(observed(0.5).spareMillis(100, 3_000), expected, 150);
+        double expected = observed(1).paces().spareMillis(200, 3_000);
+        assertEquals(observed(2).paces().spareMillis(400, 3_000), expected, 150);
+        assertEquals(observed(0.5).paces().spareMillis(100, 3_000), expected, 150);
     }
 
     @Test
     public void nothingObservedGivesAPlausibleTime() {
-        double spareMillis = new AnswerPace().spareMillis(200, 3_000);
+        double spareMillis = new AnswerPace().paces().spareMillis(200, 3_000);
         assertTrue(spareMillis > 500 && spareMillis < 2_500, "spare " + spareMillis);
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AdmittedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AdmittedRequest.java
@@ -28,4 +28,10 @@
         StreamKey stream,
         String softwareVersion,
         int priority,
-        int rank) {}
+        int rank) {
+
+    /** Returns the tokens that its answer may have, 0 if unknown. */
+    int answerTokens() {
+        return route.kind().stream() ? callerHeaders.answerTokens() : 0;
+    }
+}
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/AttemptTarget.java
@@ -61,6 +61,14 @@
      */
     void onFirstEvent(long afterMillis);
 
+    /**
+     * Called when the request has begun to run. What another node has sent is counted there.
+     *
+     * @param workspace its workspace, empty if it has none
+     * @param agoMillis how long ago that was, in milliseconds
+     */
+    void began(String workspace, long agoMillis);
+
     /** Returns the software version that sends the answer, empty if it is not known. */
     String softwareVersion();
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CurrentSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CurrentSettings.java
@@ -47,13 +47,15 @@
                 loaded.seedHosts(),
                 loaded.store(),
                 loaded.bounds(),
-                loaded.resources());
+                loaded.resources(),
+                initial.usage());
         List<String> needRestart = new ArrayList<>();
         addIfChanged(needRestart, "the node's name", initial.nodeName(), loaded.nodeName());
         addIfChanged(needRestart, "the data centre", initial.dataCentre(), loaded.dataCentre());
         addIfChanged(needRestart, "the callers' address", initial.callers(), loaded.callers());
         addIfChanged(needRestart, "the readiness address", initial.readiness(), loaded.readiness());
         addIfChanged(needRestart, "the peers' address", initial.peers(), loaded.peers());
+        addIfChanged(needRestart, "the reports of usage", initial.usage(), loaded.usage());
         return needRestart;
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -30,6 +30,7 @@
 import io.lagoonseam.core.resume.VersionHistory;
 import io.lagoonseam.core.resume.VersionHistory.Versions;
 import io.lagoonseam.core.time.TimeSource;
+import io.lagoonseam.entry.duty.UsageMeter;
 import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.placement.PlacementClient;
 import io.vertx.core.buffer.Buffer;
@@ -95,6 +96,7 @@
     private final RouteHistory routeHistory = new RouteHistory();
     private StreamOriginSource origins = StreamOriginSource.NONE;
     private Quarantine quarantine = Quarantine.NONE;
+    private UsageMeter usage = UsageMeter.NONE;
     private final Set<ForwardedRequest> sent = new LinkedHashSet<>();
     private PlacementClient placement;
     private Runnable onWork = () -> {};
@@ -178,6 +180,15 @@
         return origins;
     }
 
+    /** Sets what counts the requests that workers begin to run. */
+    void usage(UsageMeter value) {
+        this.usage = value;
+    }
+
+    UsageMeter usage() {
+        return usage;
+    }
+
     /** Sets what tells which requests are not to be sent, since workers crash under them. */
     void quarantine(Quarantine value) {
         this.quarantine = value;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -9,6 +9,8 @@
 import io.lagoonseam.core.ratelimit.IssuerStanding;
 import io.lagoonseam.core.ratelimit.WorkerIncarnation;
 import io.lagoonseam.entry.detour.DetourExchange;
+import io.lagoonseam.entry.duty.UsageDuty;
+import io.lagoonseam.entry.duty.UsagePlatform;
 import io.lagoonseam.entry.peer.PeerTransportOptions;
 import io.lagoonseam.entry.peer.VertxPeerTransport;
 import io.lagoonseam.entry.placement.HomeChannel;
@@ -86,6 +88,7 @@
     private final VertxPeerTransport transport;
     private final RegisteredVersions registeredVersions;
     private final StoreSilenceExchange storeSilence;
+    private final Optional<UsageDuty> usage;
     private final List<CollectionFollower> followers;
     private final List<Long> timers = new ArrayList<>();
     private final Optional<ListenAddress> metricsAddress;
@@ -98,12 +101,14 @@
      * @param store the platform's store
      * @param decoder decodes the objects of the store
      * @param metricsAddress the address that serves metrics in addition to the readiness address, empty for none
+     * @param usagePlatform takes the reports of usage that the settings ask for; empty if they ask for none
      */
     public ForwardNode(
             ForwardEnvironment environment,
             CollectionStore store,
             RecordDecoder decoder,
-            Optional<ListenAddress> metricsAddress) {
+            Optional<ListenAddress> metricsAddress,
+            Optional<UsagePlatform> usagePlatform) {
         this.environment = environment;
         this.metricsAddress = metricsAddress;
         Vertx vertx = environment.vertx();
@@ -204,6 +209,8 @@
         placement.onWork(ticker::wake);
         homes.onWork(ticker::wake);
         this.exchange = new ForwardStateExchange(environment, transport, dispatcher, nodes, storeReplica);
+        this.usage = usagePlatform.map(platform -> newUsageDuty(store, platform));
+        usage.ifPresent(dispatcher::usage);
         this.followers = newFollowers(store);
         this.storeSilence = newStoreSilence(store);
         addGauges(metrics);
@@ -280,6 +287,30 @@
                 }));
     }
 
+    private UsageDuty newUsageDuty(CollectionStore store, UsagePlatform platform) {
+        Vertx vertx = environment.vertx();
+        NodeSettings.Usage settings = environment.settings().usage().orElseThrow();
+        String incarnation = String.join(
+                "/",
+                nodes.ownId(),
+                Long.toHexString(environment.time().wallMillis()),
+                Long.toHexString(environment.random().nextLong()));
+        return new UsageDuty(new UsageDuty.Environment(
+                environment.time(),
+                transport,
+                task -> vertx.runOnContext(nothing -> task.run()),
+                nodes.ownId(),
+                environment.settings().nodeName(),
+                incarnation,
+                nodes::others,
+                () -> HomeRanking.rank(UsageDuty.SUBJECT, nodes.issuerCapacities()),
+                store,
+                platform,
+                environment.events(),
+                settings.windowMillis(),
+                settings.leaseMillis()));
+    }
+
     private void onStoreSilence() {
         environment.events().record(EventCode.STORE_SILENT, "a watch has ended without an answer");
         storeSilence.noticed();
@@ -388,6 +419,7 @@
         quarantine.tick();
         dispatcher.reach().tick();
         detours.tick();
+        usage.ifPresent(UsageDuty::tick);
         dispatcher.ejectFailing();
         exchange.pullIfUnconfigured();
     }
@@ -439,6 +471,7 @@
         permitServer.stop();
         origins.handOver();
         quarantine.handOver();
+        usage.ifPresent(UsageDuty::stop);
         environment.vertx().setTimer(BALANCER_GRACE_MILLIS, timer -> {
             front.stopAccepting();
             environment.vertx().setPeriodic(STOP_POLL_MILLIS, pollTimer -> {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -104,10 +104,8 @@
                 admitted.route().kind().stream(), admitted.callerHeaders().lastEventId(), admitted.softwareVersion());
         this.end = new RequestEnd(
                 environment, dispatcher, admitted, log, gate, callerResponse, counts, received, this::finish);
-        long callerTimeoutMillis = admitted.callerHeaders().timeoutMillis();
-        long timeoutMillis = admitted.route().timeoutMillis();
-        this.deadlineMillis = arrivedMillis
-                + (callerTimeoutMillis > 0 ? Math.min(callerTimeoutMillis, timeoutMillis) : timeoutMillis);
+        this.deadlineMillis =
+                arrivedMillis + times.longestMillis(admitted.callerHeaders().timeoutMillis());
     }
 
     @Override
@@ -122,12 +120,12 @@
 
     @Override
     public int answerTokens() {
-        return kind().stream() ? admitted.callerHeaders().answerTokens() : 0;
+        return admitted.answerTokens();
     }
 
     @Override
     public long leftMillis() {
-        return remainingMillis();
+        return deadlineMillis - nowMillis();
     }
 
     PromptSegments prompt() {
@@ -179,17 +177,13 @@
         return environment.time().monotonicMillis();
     }
 
-    private long remainingMillis() {
-        return deadlineMillis - nowMillis();
-    }
-
     /** Starts processing: registers for the caller's disconnection, starts the deadline timer, queues the request. */
     void start() {
         request.response().closeHandler(nothing -> onCallerGone());
         request.response().exceptionHandler(cause -> onCallerGone());
-        deadlineTimer.restart(remainingMillis() + DEADLINE_GRACE_MILLIS, this::onDeadline);
+        deadlineTimer.restart(leftMillis() + DEADLINE_GRACE_MILLIS, this::onDeadline);
         detour.count();
-        log.accepted(remainingMillis(), gate.digest());
+        log.accepted(leftMillis(), gate.digest());
         enter();
     }
 
@@ -286,7 +280,7 @@
         log.sentThrough(to.name(), received.lastEventId());
         RequestDetour.Progress progress = new RequestDetour.Progress(
                 nowMillis() - arrivedMillis,
-                Math.max(1, remainingMillis()),
+                Math.max(1, leftMillis()),
                 counts.runsLeft(),
                 received.softwareVersion(),
                 received.lastEventId(),
@@ -358,7 +352,7 @@
         gate.sending(choice.worker().record());
         UpstreamRequestHeaders added = new UpstreamRequestHeaders(
                 to.name(),
-                Math.max(1, remainingMillis()),
+                Math.max(1, leftMillis()),
                 priority(),
                 admitted.workspace(),
                 received.lastEventId(),
@@ -434,7 +428,7 @@
         if (done || attempt == null || brokenStreamGoesBack()) {
             return;
         }
-        boolean attemptsLeft = counts.runsLeft() > 0 && remainingMillis() > 0;
+        boolean attemptsLeft = counts.runsLeft() > 0 && leftMillis() > 0;
         boolean mayGoOn = remainingKind().retryable() && target.mayGoOnElsewhere(received.softwareVersion());
         if (!attemptsLeft || !mayGoOn || !gate.mayRetry() || !tryTakeRetry()) {
             // if no retry is possible, keep waiting: a late response is better than none
@@ -515,6 +509,7 @@
     /** Records which software version began the stream, before the first event is forwarded. */
     private void begin() {
         received.begin(target.softwareVersion());
+        target.began(admitted.workspace(), 0);
         if (kind().retryable()) {
             long lifetimeMillis =
                     times.originLifetimeMillis(admitted.callerHeaders().timeoutMillis());
@@ -562,6 +557,9 @@
             decide(new AttemptResult.Broken("the stream ended within an event"));
             return;
         }
+        if (!kind().stream()) {
+            target.began(admitted.workspace(), nowMillis() - sentMillis);
+        }
         // a worker that asks for a pause is overloaded, not failing
         boolean failed = answer.status() >= 500 && answer.retryAfterMillis() == 0;
         target.observe(failed ? OutlierDetector.Outcome.FAILED : OutlierDetector.Outcome.ANSWERED);
@@ -625,7 +623,7 @@
             end.breakOff(answer.status(), result.toString());
             return;
         }
-        AttemptPolicy.History history = counts.history(remainingKind(), remainingMillis());
+        AttemptPolicy.History history = counts.history(remainingKind(), leftMillis());
         NextStep step = AttemptPolicy.next(result, history, () -> gate.mayRetry() && tryTakeRetry());
         switch (step) {
             case RETRY -> {
@@ -633,7 +631,7 @@
                 enter();
             }
             case FORWARD_ANSWER -> forwardAnswer();
-            case REFUSE -> end.refuse(result.toString(), 0, remainingMillis());
+            case REFUSE -> end.refuse(result.toString(), 0, leftMillis());
             case FAIL ->
                 end.fail(
                         result instanceof AttemptResult.Silent ? RequestEnd.GATEWAY_TIMEOUT : RequestEnd.BAD_GATEWAY,
@@ -677,7 +675,7 @@
         if (counts.runs() > 0) {
             end.fail(RequestEnd.BAD_GATEWAY, reason);
         } else {
-            end.refuse(reason, backlogMillis, remainingMillis());
+            end.refuse(reason, backlogMillis, leftMillis());
         }
     }
 
@@ -688,7 +686,7 @@
         boolean unsent = attempt == null && counts.runs() == 0;
         cancelWork();
         if (unsent) {
-            end.refuse("the deadline passed while it waited", 0, remainingMillis());
+            end.refuse("the deadline passed while it waited", 0, leftMillis());
         } else {
             end.fail(RequestEnd.GATEWAY_TIMEOUT, "the deadline passed");
         }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import io.lagoonseam.entry.settings.ListenAddress;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The settings of a node.
@@ -18,6 +19,7 @@
  * @param store the address of the store
  * @param bounds the limits that the deployment sets
  * @param resources the resources of the VM
+ * @param usage how usage is reported, empty if it is not
  */
 public record NodeSettings(
         String nodeName,
@@ -30,7 +32,8 @@
         List<String> seedHosts,
         ListenAddress store,
         Bounds bounds,
-        Resources resources) {
+        Resources resources,
+        Optional<Usage> usage) {
 
     /** Copies the list of seed hosts. */
     public NodeSettings {
@@ -47,6 +50,15 @@
      */
     public record Bounds(long stopMillis, double retryRatio, long retryWindowMillis, double retrySlack) {}
 
+    /**
+     * How the usage of workspaces is reported to the platform.
+     *
+     * @param platform the address that takes the reports
+     * @param windowMillis the length of a window, in milliseconds
+     * @param leaseMillis the least time between two holders of the duty that the platform allows, in milliseconds
+     */
+    public record Usage(ListenAddress platform, long windowMillis, long leaseMillis) {}
+
     /**
      * The resources of the VM.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/PeerTarget.java
@@ -90,6 +90,11 @@
         return false;
     }
 
+    @Override
+    public void began(String workspace, long agoMillis) {
+        // the node that sends it to a worker counts it
+    }
+
     @Override
     public void onFirstEvent(long afterMillis) {
         // the node reports it
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RouteTimes.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RouteTimes.java
@@ -37,6 +37,16 @@
         this.route = route;
     }
 
+    /**
+     * Returns how long a request may take.
+     *
+     * @param callerTimeoutMillis the timeout that its caller states, in milliseconds; 0 if it states none
+     * @return the time, in milliseconds
+     */
+    long longestMillis(long callerTimeoutMillis) {
+        return callerTimeoutMillis > 0 ? Math.min(callerTimeoutMillis, route.timeoutMillis()) : route.timeoutMillis();
+    }
+
     /**
      * Returns how long a request waits for a slot.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/WorkerTarget.java
@@ -148,6 +148,11 @@
         releaseUnreadTokens();
     }
 
+    @Override
+    public void began(String workspace, long agoMillis) {
+        dispatcher.usage().began(workspace, agoMillis);
+    }
+
     private void releaseUnreadTokens() {
         worker.promptRead(unreadTokens);
         unreadTokens = 0;
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionStore.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionStore.java
@@ -15,6 +15,9 @@
     /** The collection in which workers register themselves. */
     String UPSTREAMS = "upstreams";
 
+    /** The collection of the records that name who holds a duty. */
+    String DUTIES = "duties";
+
     /** The collection in which the nodes register themselves. */
     String NODES = "nodes";
 
@@ -53,6 +56,29 @@
      */
     Future<StoreResult> put(String collection, String name, JsonNode content);
 
+    /**
+     * Reads an object.
+     *
+     * @param collection the name of the collection
+     * @param name the name of the object
+     * @param mayBeStale whether content that is some seconds old is enough, which costs the store less
+     * @return {@link StoreResult.Objects}, {@link StoreResult.Conflict} if it is absent, or
+     *     {@link StoreResult.Unavailable}
+     */
+    Future<StoreResult> read(String collection, String name, boolean mayBeStale);
+
+    /**
+     * Replaces the content of an object if it still has a revision.
+     *
+     * @param collection the name of the collection
+     * @param name the name of the object
+     * @param content the content of the object
+     * @param revision the revision that the object must have; negative if it must be absent
+     * @return {@link StoreResult.Objects}, {@link StoreResult.Conflict}, or {@link StoreResult.Unavailable} after which
+     *     the write may have taken effect, or may take effect later
+     */
+    Future<StoreResult> replace(String collection, String name, JsonNode content, long revision);
+
     /**
      * Removes an object.
      *
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -55,7 +56,8 @@
                 List.of("10.0.0.2"),
                 new ListenAddress("10.9.0.1", 4),
                 new NodeSettings.Bounds(8_000, 0.2, 10_000, 50),
-                new NodeSettings.Resources(280, 4_000, 750));
+                new NodeSettings.Resources(280, 4_000, 750),
+                Optional.empty());
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
                 new CurrentSettings(settings),
@@ -168,6 +170,16 @@
             return unavailable();
         }
 
+        @Override
+        public Future<StoreResult> read(String collection, String name, boolean mayBeStale) {
+            return unavailable();
+        }
+
+        @Override
+        public Future<StoreResult> replace(String collection, String name, JsonNode content, long revision) {
+            return unavailable();
+        }
+
         @Override
         public Future<StoreResult> remove(String collection, String name) {
             return unavailable();
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloaderTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloaderTest.java
@@ -32,7 +32,8 @@
                 List.of(),
                 new ListenAddress("10.9.0.1", storePort),
                 new NodeSettings.Bounds(stopMillis, 0.2, 10_000, 50),
-                new NodeSettings.Resources(280, 4_000, 750));
+                new NodeSettings.Resources(280, 4_000, 750),
+                Optional.empty());
     }
 
     @BeforeMethod
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/FaultyCollection.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/FaultyCollection.java
@@ -120,6 +120,16 @@
         throw new UnsupportedOperationException("a follower does not write");
     }
 
+    @Override
+    public Future<StoreResult> read(String collection, String name, boolean mayBeStale) {
+        throw new UnsupportedOperationException("not played");
+    }
+
+    @Override
+    public Future<StoreResult> replace(String collection, String name, JsonNode content, long expectedRevision) {
+        throw new UnsupportedOperationException("not played");
+    }
+
     @Override
     public Future<StoreResult> remove(String collection, String name) {
         throw new UnsupportedOperationException("a follower does not write");
--- a/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
+++ b/lagoonseam-wire/src/main/java/io/lagoonseam/wire/MessageTypes.java
@@ -105,5 +105,11 @@
     /** Tells that connections to the store have gone silent: an empty message, answered by one. */
     public static final int STORE_SILENT = 91;
 
+    /**
+     * Asks for the requests that a node has counted: {@link UsageMessages.Ask}, answered by
+     * {@link UsageMessages.Answer}.
+     */
+    public static final int USAGE_ASK = 92;
+
     private MessageTypes() {}
 }
