--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/AnswerPace.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/AnswerPace.java
@@ -20,6 +20,9 @@
     /** Answers with fewer tokens tell little. */
     private static final int MIN_TOKENS = 16;
 
+    /** How many times the tokens that were expected of an answer count at most. */
+    private static final double MAX_DEVIATION = 4;
+
     /** What is left of the weight of earlier answers after each further one. */
     private static final double RETAINED = 0.995;
 
@@ -38,14 +41,17 @@
     /**
      * Records the end of an answer.
      *
-     * @param tokens the tokens that its caller stated
+     * @param statedTokens the tokens that its caller stated; what is far from the estimate counts as far less
      * @param readingMillis the time of the answer in which its engine read prompts, in milliseconds
      * @param otherMillis the rest of its time, in milliseconds
      */
-    void observe(int tokens, double readingMillis, double otherMillis) {
-        if (tokens < MIN_TOKENS) {
+    void observe(int statedTokens, double readingMillis, double otherMillis) {
+        if (statedTokens < MIN_TOKENS) {
             return;
         }
+        Paces paces = paces();
+        double expected = paces.whileReading * readingMillis + paces.otherwise * otherMillis;
+        double tokens = Math.min(statedTokens, Math.max(MIN_TOKENS, MAX_DEVIATION * expected));
         readingSquares = RETAINED * readingSquares + readingMillis * readingMillis;
         otherSquares = RETAINED * otherSquares + otherMillis * otherMillis;
         products = RETAINED * products + readingMillis * otherMillis;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.core.placement;
 
+import io.lagoonseam.core.forward.CachedSegments;
 import io.lagoonseam.core.forward.Lane;
 import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.OutlierDetector;
@@ -106,7 +107,7 @@
         }
 
         long unsharedTokens() {
-            return promptTokens - prefixTokens + answer.tokens();
+            return promptTokens - prefixTokens;
         }
     }
 
@@ -311,11 +312,13 @@
             return PromptRoom.UNLIMITED;
         }
         AnswerPace.Paces paces = answerPace.paces();
+        // an answer that cannot end in time as it is stated is placed by its first event alone
+        boolean canEnd = spareMillis(paces, request, 0, nowMillis) >= 0;
         return (worker, unreadTokens) -> {
             ReadingBudget budget = budget(worker);
             double pendingMillis = readingMillis(worker, worker.pendingTokens(nowMillis));
             double promptMillis = readingMillis(worker, unreadTokens);
-            return spareMillis(paces, request, pendingMillis + promptMillis, nowMillis) >= 0
+            return (!canEnd || spareMillis(paces, request, pendingMillis + promptMillis, nowMillis) >= 0)
                     && budget.allows(request.priority(), pendingMillis, promptMillis, nowMillis);
         };
     }
@@ -343,7 +346,7 @@
     private void evict(UpstreamState worker) {
         long capacityTokens = workers.kvCapacityTokens();
         if (rules.keepsEnds() && capacityTokens > 0) {
-            worker.cachedSegments().evictBeyond(capacityTokens - work(worker).unsharedTokens);
+            worker.cachedSegments().evictBeyond(Math.max(0, capacityTokens - work(worker).unsharedTokens));
         }
     }
 
@@ -398,13 +401,22 @@
         placement.unreadTokens = 0;
     }
 
+    private static void recordUse(Placement placement, long nowMillis) {
+        CachedSegments cached = placement.worker.cachedSegments();
+        if (placement.prefixTokens > 0) {
+            cached.recordUse(placement.prefixHash, (int) placement.prefixTokens, nowMillis);
+        } else {
+            cached.recordUse(placement.prefixHash, nowMillis);
+        }
+    }
+
     private void begin(PlacementKey key, Placement placement, long nowMillis) {
         placement.worker.started(placement.unreadTokens, placement.promptTokens);
         placement.worker.addPending(placement.priority, placement.unreadTokens);
         budget(placement.worker).begin(placement.unreadTokens, nowMillis);
         work(placement.worker).unsharedTokens += placement.unsharedTokens();
         if (placement.hasPrefix()) {
-            placement.worker.cachedSegments().recordUse(placement.prefixHash, (int) placement.prefixTokens, nowMillis);
+            recordUse(placement, nowMillis);
         }
         evict(placement.worker);
         placements.put(key, placement);
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/AnswerPaceTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/AnswerPaceTest.java
@@ -51,4 +51,15 @@
         double spareMillis = new AnswerPace().paces().spareMillis(200, 3_000);
         assertTrue(spareMillis > 500 && spareMillis < 2_500, "spare " + spareMillis);
     }
+
+    /** One caller who states a million tokens for each answer would have every prompt let in beside the others. */
+    @Test
+    public void aCallerThatStatesFarTooMuchMovesLittle() {
+        AnswerPace pace = observed(1);
+        double expected = pace.paces().spareMillis(200, 3_000);
+        for (int index = 0; index < 10; index++) {
+            pace.observe(1_000_000, 1_500, 300);
+        }
+        assertEquals(pace.paces().spareMillis(200, 3_000), expected, 250);
+    }
 }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/placement/PlacementHomeTest.java
@@ -242,6 +242,15 @@
             assertTrue(home.submit(digest(900, 900, 0, 0), 0) instanceof PlacementDecision.Queued, "more urgent");
         }
 
+        /** A count that nobody can meet must not keep its caller out where others are served. */
+        @Test
+        public void anAnswerThatIsStatedFarTooLongIsPlacedByItsFirstEvent() {
+            PlacementHome home = home(1);
+            ExpectedAnswer stated = new ExpectedAnswer(1_000_000, 4_000);
+            assertTrue(home.submit(answered(1, 2, stated), 0) instanceof PlacementDecision.Granted);
+            assertTrue(home.submit(answered(2, 2, stated), 0) instanceof PlacementDecision.Granted);
+        }
+
         /** Streams ended at their deadlines, since their engines read one prompt after the other beside them. */
         @Test
         public void aPromptIsHeldBackWhereAStreamWouldMissItsEnd() {
