--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LeastLoadedChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/LeastLoadedChooser.java
@@ -41,7 +41,7 @@
                 continue;
             }
             if (!worker.record().dataCentre().equals(request.dataCentre())) {
-                load += REMOTE_LOAD_PENALTY;
+                load += Math.max(REMOTE_LOAD_PENALTY, ZoneToll.load(request, worker));
             }
             if (load < bestLoad || load == bestLoad && preferred(worker, best)) {
                 best = worker;
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/PrefixChooser.java
@@ -17,7 +17,7 @@
  * well. An idle worker gets it at once, since waiting would gain nothing.
  *
  * <p>Answers bursts of long prompts, at a node that sees the requests of few other nodes and at a home that knows those
- * of all nodes; a home keeps requests in their lanes.
+ * of all nodes; a home keeps requests in their lanes, and in their data centres unless leaving pays.
  */
 public final class PrefixChooser implements UpstreamChooser {
 
@@ -89,7 +89,7 @@
                 continue;
             }
             Choice choice = choice(request, worker, prefix);
-            double millis = expectedMillis(request, choice);
+            double millis = expectedMillis(request, choice) + ZoneToll.millis(request, worker);
             boolean better = millis < bestMillis
                     || millis == bestMillis && best != null && byRank.compare(worker, best.worker()) < 0;
             if (better && hasRoom(request, choice)) {
@@ -128,7 +128,7 @@
         return available;
     }
 
-    /** Orders workers by rendezvous hashing, those of the request's lane first. */
+    /** Orders workers by rendezvous hashing, those of the request's lane first, then those it should not leave for. */
     private static Comparator<UpstreamState> byRank(ChoiceRequest request) {
         long prefixHash = request.prompt().prefixHash();
         return (left, right) -> {
@@ -136,6 +136,10 @@
             if (ownLane != (right.lane() == request.lane())) {
                 return ownLane ? -1 : 1;
             }
+            boolean last = ZoneToll.comesLast(request, left);
+            if (last != ZoneToll.comesLast(request, right)) {
+                return last ? 1 : -1;
+            }
             return Long.compare(Rendezvous.mix(prefixHash, right.hash()), Rendezvous.mix(prefixHash, left.hash()));
         };
     }
