--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/CommandLineProgram.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.cli;
 
 import io.lagoonseam.cli.config.ConfigApplyCommand;
+import io.lagoonseam.cli.config.ConfigCheckCommand;
 import io.lagoonseam.cli.config.ConfigDiffCommand;
 import io.lagoonseam.cli.config.ConfigHashKeyCommand;
 import io.lagoonseam.cli.config.ConfigHistoryCommand;
@@ -32,6 +33,7 @@
             new ConfigValidateCommand(),
             new ConfigApplyCommand(),
             new ConfigDiffCommand(),
+            new ConfigCheckCommand(),
             new ConfigShowCommand(),
             new ConfigHistoryCommand(),
             new ConfigWatchCommand(),
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/RoutingConfiguration.java
@@ -83,6 +83,24 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns all services.
+     *
+     * @return the services by name
+     */
+    public Map<String, ForwardService> services() {
+        return services;
+    }
+
+    /**
+     * Returns the workspaces of all keys.
+     *
+     * @return the workspaces by key
+     */
+    public Map<String, KeyWorkspace> workspacesByKey() {
+        return workspacesByKey;
+    }
+
     /**
      * Returns the limits on callers' requests.
      *
