Usage: a spoiled record returns no token, and is not taken before a lease has passed

Cause, found on a second reading: an unreadable record counted as no record. Change: it counts as held by somebody, and tokens are above the revision of the record, which each taking changes.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/duty/DutyRecord.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/duty/DutyRecord.java
@@ -25,6 +25,9 @@
     /** Nobody has ever held the duty. */
     public static final DutyRecord NONE = new DutyRecord("", "", 0, "", -1, new TreeMap<>());
 
+    /** Another writer has left something else: there may be a holder, whose lease has to pass. */
+    public static final DutyRecord UNREADABLE = new DutyRecord("", "?", 0, "", -1, new TreeMap<>());
+
     /** The number of decided windows that are kept. */
     public static final int MAX_DECIDED = 8;
 
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/duty/DutyTenure.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/duty/DutyTenure.java
@@ -122,6 +122,8 @@
      */
     public DutyRecord taken() {
         DutyRecord before = record.orElse(DutyRecord.NONE).with(seen);
-        return before.heldBy(machine, incarnation, Math.max(highestToken, before.token()) + 1);
+        // each taking changes the revision, so that tokens grow also where no earlier one is known
+        long highest = Math.max(revision, Math.max(highestToken, before.token()));
+        return before.heldBy(machine, incarnation, highest + 1);
     }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/duty/UsageDuty.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/duty/UsageDuty.java
@@ -300,8 +300,7 @@
     }
 
     private void observe(CollectionObject object) {
-        // a record that cannot be read is replaced by one that can, when its time is over
-        tenure.observe(DutyRecordCodec.decode(object.content()).orElse(DutyRecord.NONE), object.revision());
+        tenure.observe(DutyRecordCodec.decode(object.content()).orElse(DutyRecord.UNREADABLE), object.revision());
     }
 
     private DutyRecord current() {
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/duty/DutyFleet.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/duty/DutyFleet.java
@@ -71,6 +71,12 @@
         copy = object;
     }
 
+    /** Another writer leaves something else in place of the record. */
+    void spoilRecord() {
+        revision++;
+        object = Optional.of(new CollectionObject(UsageDuty.SUBJECT, revision, false, null));
+    }
+
     void restoreStore() {
         object = copy;
     }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/duty/UsageDutyTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/duty/UsageDutyTest.java
@@ -168,6 +168,20 @@
         assertReported(fleet, DutyFleet.window(30_000), DutyFleet.window(45_000), false);
     }
 
+    /** Nodes that had never read a sound record began with token 1 again, and at once. */
+    @Test
+    public void aRecordThatAnotherWriterHasSpoiledReturnsNoToken() {
+        DutyFleet fleet = new DutyFleet(8, 1, true);
+        fleet.network.run(12_000);
+        fleet.holder().orElseThrow().kill();
+        fleet.network.run(26_000);
+        fleet.nodes.forEach(DutyFleet.Node::kill);
+        fleet.spoilRecord();
+        fleet.nodes.forEach(DutyFleet.Node::restart);
+        fleet.network.run(75_000);
+        assertReported(fleet, DutyFleet.window(45_000), DutyFleet.window(60_000), true);
+    }
+
     /** Failures of all kinds, one after the other and at the same time. */
     @Test
     public void noTwoHoldersActThroughASeriesOfFailures() {
