Homes and usage: each decision in a class of its own; what operators see of them

Change: EngineRooms decides which engines have room and which prefixes they hold, Placement is a request in flight, UsageCounter counts at each node by the time that a holder tells, also at the holder. Gauges duties.usage_held and duties.usage_windows_waiting. No decision changed.

--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/placement/PlacementHome.java
@@ -1,10 +1,8 @@
 package io.lagoonseam.core.placement;
 
-import io.lagoonseam.core.forward.CachedSegments;
 import io.lagoonseam.core.forward.Lane;
 import io.lagoonseam.core.forward.LatencyLanes;
 import io.lagoonseam.core.forward.OutlierDetector;
-import io.lagoonseam.core.forward.PromptRoom;
 import io.lagoonseam.core.forward.RequestQueue;
 import io.lagoonseam.core.forward.ServiceWorkers;
 import io.lagoonseam.core.forward.UpstreamChooser;
@@ -14,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,12 +32,11 @@
     /** How long a request that will be late is kept, in milliseconds. */
     public static final long MAX_OVERDUE_MILLIS = 300;
 
+    private static final String NO_PLACE = "no place within the longest wait";
+
     /** The priority of requests that nodes have placed by themselves. */
     private static final int UNKNOWN_PRIORITY = 0;
 
-    /** How late reports of nodes arrive, in milliseconds. */
-    private static final long REPORT_MILLIS = 60;
-
     /**
      * The requests of one lane and priority for which no worker was found after which a pass over the queue tries no
      * further ones of that kind: the workers are full, and each try costs a look at all of them.
@@ -63,61 +59,10 @@
     private long lowestPlacedMillis;
     private final OverloadRules rules;
     private final QueueLoad queueLoad = new QueueLoad();
-    private final AnswerPace answerPace = new AnswerPace();
-    private final Map<UpstreamState, EngineWork> work = new IdentityHashMap<>();
+    private final EngineRooms rooms;
     private double queuedTokens;
     private boolean changed;
 
-    /** A request in flight. */
-    private static final class Placement {
-        private final UpstreamState worker;
-        private final long prefixHash;
-        private final long prefixTokens;
-        private final long promptTokens;
-        private final long tokensAhead;
-        private final int priority;
-        private final ExpectedAnswer answer;
-        private long unreadTokens;
-        private boolean read;
-        private Optional<Double> readingLimit = Optional.empty();
-        private long firstEventMillis;
-        private double readBeforeMillis;
-
-        Placement(
-                UpstreamState worker,
-                long prefixHash,
-                long prefixTokens,
-                long promptTokens,
-                long tokensAhead,
-                int priority,
-                ExpectedAnswer answer,
-                long unreadTokens) {
-            this.priority = priority;
-            this.answer = answer;
-            this.worker = worker;
-            this.prefixHash = prefixHash;
-            this.prefixTokens = prefixTokens;
-            this.promptTokens = promptTokens;
-            this.tokensAhead = tokensAhead;
-            this.unreadTokens = unreadTokens;
-        }
-
-        boolean hasPrefix() {
-            return prefixHash != 0;
-        }
-
-        long unsharedTokens() {
-            return promptTokens - prefixTokens;
-        }
-    }
-
-    /** What an engine does beside what its state tells. */
-    private static final class EngineWork {
-        private final ReadingBudget budget = new ReadingBudget();
-        /** The tokens of the requests in flight that no other request shares. */
-        private long unsharedTokens;
-    }
-
     /** Queued requests that find a worker under the same conditions. */
     private record QueuedKind(Lane lane, int priority, boolean late, boolean goesOn) {}
 
@@ -147,6 +92,7 @@
     public PlacementHome(ServiceWorkers workers, OverloadRules rules) {
         this.workers = workers;
         this.rules = rules;
+        this.rooms = new EngineRooms(workers, rules.keepsEnds());
     }
 
     /**
@@ -175,8 +121,11 @@
         if (granted.isPresent()) {
             return granted.get();
         }
-        if (request.latestStartMillis() <= nowMillis || comesInVain(request, nowMillis)) {
-            return refusal(request, nowMillis);
+        if (request.latestStartMillis() <= nowMillis) {
+            return refusal(request, NO_PLACE, nowMillis);
+        }
+        if (cannotWaitForThoseBefore(request, nowMillis)) {
+            return refusal(request, "those before it take longer than it can wait", nowMillis);
         }
         queue.add(request, request.priority(), request.latestStartMillis());
         queued.put(request.key(), request);
@@ -197,7 +146,7 @@
      * Returns whether the prompts before a new request take longer than it can wait. Its caller learns at once when to
      * come back. A request that less urgent ones have been placed before waits all the same.
      */
-    private boolean comesInVain(PlacementRequest request, long nowMillis) {
+    private boolean cannotWaitForThoseBefore(PlacementRequest request, long nowMillis) {
         if (!waitsBehind(request) || lessUrgentPlaced(request, nowMillis)) {
             return false;
         }
@@ -275,7 +224,7 @@
         dequeue(request);
         forget(request.key());
         laneShare.observeRefusal(request.demand().lane(), nowMillis);
-        return Optional.of(refusal(request, nowMillis));
+        return Optional.of(refusal(request, NO_PLACE, nowMillis));
     }
 
     private void dequeue(PlacementRequest request) {
@@ -289,7 +238,7 @@
         return request.demand().prompt().tokens() - request.demand().prompt().prefixTokens();
     }
 
-    private PlacementDecision refusal(PlacementRequest request, long nowMillis) {
+    private PlacementDecision refusal(PlacementRequest request, String reason, long nowMillis) {
         Lane lane = request.demand().lane();
         double queuedMillis = workers.workers().values().stream()
                 .mapToDouble(worker -> worker.firstEventTime().readingMillis(queuedTokens))
@@ -298,56 +247,11 @@
         double backlogMillis = workers.backlogMillis(lane, nowMillis)
                 + queuedMillis / Math.max(1, workers.workers().size());
         long limitMillis = workers.limitBacklogMillis(queued.size(), nowMillis);
-        return new PlacementDecision.Refused(
-                Math.max(Math.round(backlogMillis), limitMillis), "no place within the longest wait");
+        return new PlacementDecision.Refused(Math.max(Math.round(backlogMillis), limitMillis), reason);
     }
 
     private Optional<PlacementDecision> place(PlacementRequest request, long nowMillis) {
-        return place(request, workers.choose(request.demand(), room(request, nowMillis), nowMillis), nowMillis);
-    }
-
-    /** Returns which workers have room for the prompt of a request, so that it and the streams there end in time. */
-    private PromptRoom room(PlacementRequest request, long nowMillis) {
-        if (!rules.keepsEnds() || !request.answer().known() || request.demand().goesOn()) {
-            return PromptRoom.UNLIMITED;
-        }
-        AnswerPace.Paces paces = answerPace.paces();
-        // an answer that cannot end in time as it is stated is placed by its first event alone
-        boolean canEnd = spareMillis(paces, request, 0, nowMillis) >= 0;
-        return (worker, unreadTokens) -> {
-            ReadingBudget budget = budget(worker);
-            double pendingMillis = readingMillis(worker, worker.pendingTokens(nowMillis));
-            double promptMillis = readingMillis(worker, unreadTokens);
-            return (!canEnd || spareMillis(paces, request, pendingMillis + promptMillis, nowMillis) >= 0)
-                    && budget.allows(request.priority(), pendingMillis, promptMillis, nowMillis);
-        };
-    }
-
-    /** Returns for how long an engine may read prompts beside an answer that begins after some time. */
-    private static double spareMillis(
-            AnswerPace.Paces paces, PlacementRequest request, double beginsAfterMillis, long nowMillis) {
-        return paces.spareMillis(
-                request.answer().tokens(), request.answer().endMillis() - nowMillis - beginsAfterMillis);
-    }
-
-    private double readingMillis(UpstreamState worker, long tokens) {
-        return budget(worker).readingMillis(tokens, worker.firstEventTime().readingMillis(tokens));
-    }
-
-    private ReadingBudget budget(UpstreamState worker) {
-        return work(worker).budget;
-    }
-
-    private EngineWork work(UpstreamState worker) {
-        return work.computeIfAbsent(worker, key -> new EngineWork());
-    }
-
-    /** Forgets the prefixes for which the requests in flight at a worker leave no room. */
-    private void evict(UpstreamState worker) {
-        long capacityTokens = workers.kvCapacityTokens();
-        if (rules.keepsEnds() && capacityTokens > 0) {
-            worker.cachedSegments().evictBeyond(Math.max(0, capacityTokens - work(worker).unsharedTokens));
-        }
+        return place(request, workers.choose(request.demand(), rooms.room(request, nowMillis), nowMillis), nowMillis);
     }
 
     private void recordPriority(int priority, long nowMillis) {
@@ -378,13 +282,7 @@
                 request.priority(),
                 request.answer(),
                 choice.get().unreadTokens());
-        if (rules.keepsEnds() && request.answer().known()) {
-            double beginsAfterMillis =
-                    readingMillis(worker, tokensAhead + choice.get().unreadTokens());
-            double spareMillis = spareMillis(answerPace.paces(), request, beginsAfterMillis, nowMillis);
-            placement.readingLimit =
-                    Optional.of(budget(worker).add(request.priority(), beginsAfterMillis + spareMillis, nowMillis));
-        }
+        rooms.protect(placement, request, nowMillis);
         begin(request.key(), placement, nowMillis);
         return Optional.of(new PlacementDecision.Granted(
                 worker.record().id(),
@@ -401,24 +299,10 @@
         placement.unreadTokens = 0;
     }
 
-    private static void recordUse(Placement placement, long nowMillis) {
-        CachedSegments cached = placement.worker.cachedSegments();
-        if (placement.prefixTokens > 0) {
-            cached.recordUse(placement.prefixHash, (int) placement.prefixTokens, nowMillis);
-        } else {
-            cached.recordUse(placement.prefixHash, nowMillis);
-        }
-    }
-
     private void begin(PlacementKey key, Placement placement, long nowMillis) {
         placement.worker.started(placement.unreadTokens, placement.promptTokens);
         placement.worker.addPending(placement.priority, placement.unreadTokens);
-        budget(placement.worker).begin(placement.unreadTokens, nowMillis);
-        work(placement.worker).unsharedTokens += placement.unsharedTokens();
-        if (placement.hasPrefix()) {
-            recordUse(placement, nowMillis);
-        }
-        evict(placement.worker);
+        rooms.begin(placement, nowMillis);
         placements.put(key, placement);
         remember(key);
     }
@@ -465,10 +349,7 @@
             return;
         }
         placement.read = true;
-        ReadingBudget budget = budget(placement.worker);
-        budget.read(placement.unreadTokens, nowMillis);
-        placement.firstEventMillis = nowMillis;
-        placement.readBeforeMillis = budget.doneMillis(nowMillis);
+        rooms.firstEvent(placement, nowMillis);
         // before a less urgent prompt that was begun, an unknown part of that was read first
         boolean exact = placement.worker.pendingTokens(nowMillis)
                 == placement.worker.pendingTokens(nowMillis, OptionalInt.of(placement.priority));
@@ -490,15 +371,8 @@
      */
     public void recordEnd(PlacementKey key, long nowMillis) {
         Placement placement = placements.get(key);
-        if (placement != null && placement.read) {
-            placement.worker.cachedSegments().recordUnshared((int) placement.unsharedTokens(), nowMillis);
-        }
-        // an answer that was cut at the end of its time tells nothing of its pace
-        boolean whole = placement != null && nowMillis < placement.answer.endMillis() - REPORT_MILLIS;
-        if (whole && placement.read && placement.answer.known()) {
-            double readMillis = budget(placement.worker).doneMillis(nowMillis) - placement.readBeforeMillis;
-            double answerMillis = nowMillis - placement.firstEventMillis;
-            answerPace.observe(placement.answer.tokens(), readMillis, Math.max(0, answerMillis - readMillis));
+        if (placement != null) {
+            rooms.end(placement, nowMillis);
         }
         release(key);
     }
@@ -516,13 +390,9 @@
         }
         Placement placement = placements.remove(key);
         if (placement != null) {
-            if (!placement.read) {
-                budget(placement.worker).withdraw(placement.unreadTokens);
-            }
-            work(placement.worker).unsharedTokens -= placement.unsharedTokens();
+            rooms.release(placement);
             endReading(placement);
             placement.worker.ended(placement.promptTokens);
-            placement.readingLimit.ifPresent(limit -> budget(placement.worker).remove(placement.priority, limit));
             changed = true;
         }
         forget(key);
@@ -584,7 +454,7 @@
     /** Records that the workers have changed, so that queued requests may find a place. */
     public void workersChanged() {
         changed = true;
-        work.keySet().retainAll(workers.workers().values());
+        rooms.retainPresent();
         assignLanes();
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/duty/UsageDuty.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/duty/UsageDuty.java
@@ -6,7 +6,6 @@
 import io.lagoonseam.core.duty.DutyRecord;
 import io.lagoonseam.core.duty.DutyTenure;
 import io.lagoonseam.core.duty.UsageTally;
-import io.lagoonseam.core.duty.WindowCounts;
 import io.lagoonseam.core.peer.PeerReply;
 import io.lagoonseam.core.peer.PeerTransport;
 import io.lagoonseam.core.time.StallDetector;
@@ -18,8 +17,6 @@
 import io.lagoonseam.wire.MessageTypes;
 import io.lagoonseam.wire.UsageMessages.Answer;
 import io.lagoonseam.wire.UsageMessages.Ask;
-import io.lagoonseam.wire.UsageMessages.Window;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -67,22 +64,17 @@
 
     private static final long UNKNOWN_WINDOW = -1;
 
-    /** How long the time that a holder has told holds, in milliseconds. */
-    private static final long TOLD_TIME_VALID_MILLIS = 10_000;
-
     /** A pause of this process after which readings of other clocks no longer hold, in milliseconds. */
     private static final long MAX_STALL_MILLIS = 900;
 
     private final Environment environment;
     private final TimeSource time;
     private final DutyTenure tenure;
-    private final WindowCounts counts;
+    private final UsageCounter counter;
     private final UsageTally tally = new UsageTally();
     private final ClockMedian clocks = new ClockMedian();
     private final StallDetector stallDetector;
     private final Map<String, String> incarnations = new HashMap<>();
-    private Optional<Long> toldOffsetMillis = Optional.empty();
-    private long toldAtMillis;
     private long firstWindow = UNKNOWN_WINDOW;
     private long clocksSinceMillis;
     private long nextPollMillis;
@@ -93,16 +85,11 @@
     /** What this node has decided and reported as the holder, which the record may not have yet. */
     private DutyRecord own = DutyRecord.NONE;
 
-    private final List<Begun> unplaced = new ArrayList<>();
-    private long stalledMillis = Long.MIN_VALUE / 2;
     private long stalls;
     private boolean calling;
     private boolean sending;
     private boolean stopping;
 
-    /** A request that a worker began to run, on the monotonic clock. */
-    private record Begun(String workspace, long atMillis) {}
-
     /**
      * What the duty needs from its node.
      *
@@ -143,7 +130,7 @@
     public UsageDuty(Environment environment) {
         this.environment = environment;
         this.time = environment.time();
-        this.counts = new WindowCounts(environment.windowMillis());
+        this.counter = new UsageCounter(time, environment.incarnation(), environment.windowMillis());
         this.stallDetector = new StallDetector(time, MAX_STALL_MILLIS);
         this.tenure = new DutyTenure(
                 time,
@@ -155,33 +142,12 @@
                 .register(
                         MessageTypes.USAGE_ASK,
                         (sender, payload) -> CompletableFuture.completedFuture(
-                                answer(Ask.decode(payload)).encode()));
+                                counter.answer(Ask.decode(payload)).encode()));
     }
 
     @Override
     public void began(String workspace, long agoMillis) {
-        if (workspace.isEmpty()) {
-            return;
-        }
-        if (timeKnown()) {
-            counts.add(workspace, trueMillis() - agoMillis);
-        } else {
-            unplaced.add(new Begun(workspace, nowMillis() - agoMillis));
-        }
-    }
-
-    /** Counts what was begun while the time was unknown. */
-    private void place() {
-        if (!unplaced.isEmpty() && timeKnown()) {
-            unplaced.forEach(begun -> counts.add(begun.workspace, trueMillis() - nowMillis() + begun.atMillis));
-            unplaced.clear();
-        }
-    }
-
-    /** Returns whether the clocks of others were read since a stall, or have not been for long. */
-    private boolean timeKnown() {
-        boolean read = tenure.named() ? clocksKnown() : toldOffsetMillis.isPresent();
-        return read || nowMillis() - stalledMillis >= MAX_WAIT_MILLIS;
+        counter.began(workspace, agoMillis);
     }
 
     /** Returns whether this node may act as the holder now. */
@@ -189,28 +155,18 @@
         return tenure.holds();
     }
 
+    /** Returns the number of windows that have been decided and not reported, as far as this node knows. */
+    public int windowsWaiting() {
+        DutyRecord current = current();
+        return current.decided().tailMap(current.reported(), false).size();
+    }
+
     private long nowMillis() {
         return time.monotonicMillis();
     }
 
     private long trueMillis() {
-        if (tenure.named()) {
-            return clocks.trueMillis(time.wallMillis(), nowMillis());
-        }
-        boolean told = toldOffsetMillis.isPresent() && nowMillis() - toldAtMillis <= TOLD_TIME_VALID_MILLIS;
-        return told ? nowMillis() + toldOffsetMillis.get() : time.wallMillis();
-    }
-
-    private Answer answer(Ask ask) {
-        checkStall();
-        if (ask.trueMillis() != Ask.UNKNOWN_TIME) {
-            toldOffsetMillis = Optional.of(ask.trueMillis() - nowMillis());
-            toldAtMillis = nowMillis();
-            place();
-        }
-        List<Window> windows = new ArrayList<>();
-        counts.from(ask.firstWindow()).forEach((number, byWorkspace) -> windows.add(new Window(number, byWorkspace)));
-        return new Answer(environment.incarnation(), time.wallMillis(), counts.window(trueMillis()), windows);
+        return clocks.trueMillis(time.wallMillis(), nowMillis());
     }
 
     /** The clocks of others were read before a time that the monotonic clock may not have counted. */
@@ -218,19 +174,17 @@
         if (stallDetector.check()) {
             clocks.clear();
             clocksSinceMillis = nowMillis();
-            stalledMillis = nowMillis();
             stalls++;
             tenure.distrustClocks();
             nextAskMillis = 0;
             nextWriteMillis = 0;
-            toldOffsetMillis = Optional.empty();
         }
     }
 
     /** Does what is due; called several times a second. */
     public void tick() {
         checkStall();
-        place();
+        counter.tick();
         if (stopping) {
             release();
         } else if (tenure.named()) {
@@ -353,11 +307,11 @@
         clocksSinceMillis = nowMillis();
         firstWindow = UNKNOWN_WINDOW;
         clocks.clear();
-        toldOffsetMillis.ifPresent(offset -> clocks.record(environment.ownId(), nowMillis() + offset, nowMillis()));
+        counter.toldMillis().ifPresent(told -> clocks.record(environment.ownId(), told, nowMillis()));
     }
 
     private long firstWindow() {
-        long openWindow = counts.window(trueMillis());
+        long openWindow = window(trueMillis());
         boolean neverHeld = current().reported() < 0 && current().decided().isEmpty();
         return neverHeld ? openWindow : openWindow - DutyRecord.MAX_DECIDED + 1;
     }
@@ -376,8 +330,9 @@
                 nowMillis() + (known ? Math.min(intervalMillis, environment.windowMillis() / 2) : CLOCKS_ASK_MILLIS);
         long first = current().nextToDecide(firstWindow);
         tally.forgetBefore(first);
-        tally.record(environment.incarnation(), counts.from(first), counts.window(trueMillis()));
-        byte[] question = new Ask(known ? trueMillis() : Ask.UNKNOWN_TIME, first).encode();
+        Ask ask = new Ask(known ? trueMillis() : Ask.UNKNOWN_TIME, first);
+        record(counter.answer(ask));
+        byte[] question = ask.encode();
         for (String other : others) {
             environment
                     .transport()
@@ -396,12 +351,20 @@
             }
             clocks.record(node, answer.wallMillis(), nowMillis());
             incarnations.put(node, answer.incarnation());
-            Map<Long, Map<String, Long>> windows = new HashMap<>();
-            answer.windows().forEach(window -> windows.put(window.number(), window.counts()));
-            tally.record(answer.incarnation(), windows, answer.openWindow());
+            record(answer);
         }
     }
 
+    private void record(Answer answer) {
+        Map<Long, Map<String, Long>> windows = new HashMap<>();
+        answer.windows().forEach(window -> windows.put(window.number(), window.counts()));
+        tally.record(answer.incarnation(), windows, answer.openWindow());
+    }
+
+    private long window(long trueMillis) {
+        return Math.floorDiv(trueMillis, environment.windowMillis());
+    }
+
     /** Decides the next window if it has ended and all nodes have reported since, or have had time to. */
     private void decide() {
         if (!clocksKnown()) {
@@ -417,7 +380,7 @@
         if (!ended || calling) {
             return;
         }
-        tally.record(environment.incarnation(), counts.from(window), counts.window(trueMillis()));
+        record(counter.answer(new Ask(trueMillis(), window)));
         boolean complete = environment.others().get().stream()
                 .allMatch(node -> tally.complete(window, incarnations.getOrDefault(node, "")));
         if (complete || trueMillis() >= endMillis + MAX_WAIT_MILLIS) {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -257,6 +257,10 @@
         metrics.gauge("homes.requests_placed", homes::placedRequests);
         metrics.gauge("placement.requests_waiting", placement::waitingRequests);
         metrics.gauge("placement.fallbacks", () -> (int) placement.fallbacks());
+        usage.ifPresent(duty -> {
+            metrics.gauge("duties.usage_held", () -> duty.holds() ? 1 : 0);
+            metrics.gauge("duties.usage_windows_waiting", duty::windowsWaiting);
+        });
     }
 
     private QuarantineExchange newQuarantine() {
