--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -1,23 +1,37 @@
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * A client hides a request in the body of another one, whose Transfer-Encoding is not chunked. Counts the requests that
- * a worker runs and whose id no client sent.
+ * The list of workers has two pages, and the workers of a service are replaced one after the other. At each step the
+ * store cuts off the waiting watches, so that the nodes list the workers anew while an old one reports that it drains.
+ * Counts the requests that reach a worker later than drain_ms after the store has confirmed its report.
  */
 final class Case8 {
 
-    private static final int NODES = 3;
-    private static final int REQUESTS = 30;
-    private static final int HIDES_EACH = 10;
+    private static final int NODES = 6;
+    private static final int PAGE_ITEMS = 50;
+    private static final int APP_WORKERS = 12;
+    private static final int OTHER_WORKERS = 50;
+    private static final int STEPS = 5;
+    private static final int REPLACED = 1;
+    private static final long STEP_MILLIS = 5_000;
+    private static final long LEAVES_MILLIS = 44;
+    private static final long NEW_START_MILLIS = 250;
+    private static final long WORK_MILLIS = 250;
+    private static final long BETWEEN_REQUESTS_MILLIS = 8;
     private static final long DEADLINE_MILLIS = 1_000;
+    private static final long LONGER_MILLIS = 2_500;
+
+    private record Run(String requestId, String worker, long atMillis) {}
 
     public static void main(String[] arguments) throws Exception {
         int code = 2;
@@ -30,25 +44,20 @@
     }
 
     private static int play(Bed bed) throws Exception {
+        List<Run> runs = Collections.synchronizedList(new ArrayList<>());
+        Map<String, Client.Result> results = new ConcurrentHashMap<>();
         Store store = new Store(bed.network + ".1");
-        Set<String> ran = ConcurrentHashMap.newKeySet();
-        Set<String> sent = ConcurrentHashMap.newKeySet();
-        for (int index = 1; index <= 3; index++) {
-            Worker worker = new Worker(
-                    bed,
-                    bed.network + "." + (100 + index),
-                    "i-" + index,
-                    "app",
-                    6,
-                    15,
-                    (at, request, atMillis) -> {
-                        String requestId = request.header("x-request-id");
-                        ran.add(requestId);
-                        bed.note("run " + requestId + " at " + at.id + ": " + request.line + ", body "
-                                + request.body.length + " bytes, tenant " + request.header("x-tenant")
-                                + (sent.contains(requestId) ? "" : ", UNASKED"));
-                    });
-            store.put("servers", worker.id, worker.entry("ready", 1));
+        store.pageItems = PAGE_ITEMS;
+        Worker.Listener onRun = (at, request, atMillis) -> {
+            runs.add(new Run(request.header("x-request-id"), at.id, atMillis));
+            bed.note("run " + request.header("x-request-id") + " at " + at.id);
+        };
+        Deque<Worker> workers = new ArrayDeque<>();
+        for (int index = 1; index <= APP_WORKERS + REPLACED; index++) {
+            workers.add(start(bed, store, index, "app", onRun));
+        }
+        for (int index = 1; index <= OTHER_WORKERS; index++) {
+            start(bed, store, 100 + index, "other", onRun);
         }
         store.put(
                 "config",
@@ -59,59 +68,94 @@
             bed.say("the nodes did not become ready");
             return 2;
         }
+        long trafficMillis = bed.millis();
         bed.note("all nodes are ready; traffic begins");
+        Thread traffic = new Thread(() -> {
+            Random random = new Random(10);
+            try {
+                for (int number = 1; ; number++) {
+                    String requestId = "r" + number;
+                    Bed.Node node = bed.nodes.get(random.nextInt(NODES));
+                    Store.daemon(() -> {
+                        bed.note("sent " + requestId + " to " + node.name);
+                        Client.Result result = Client.send(
+                                node, "POST", "/pay/1", requestId, Manifest.KEY, DEADLINE_MILLIS, new byte[600]);
+                        results.put(requestId, result);
+                        bed.note("answered " + requestId + " " + result.status() + " " + result.reason());
+                    });
+                    Thread.sleep(BETWEEN_REQUESTS_MILLIS);
+                }
+            } catch (InterruptedException e) {
+                // the traffic has ended
+            }
+        });
+        traffic.setDaemon(true);
+        traffic.start();
+
+        Map<String, Long> leftMillis = new HashMap<>();
+        for (int step = 0; step < STEPS; step++) {
+            long cutMillis = trafficMillis + 4_000 + step * STEP_MILLIS;
+            List<Worker> leaving = new ArrayList<>();
+            for (int index = 0; index < REPLACED; index++) {
+                leaving.add(workers.remove());
+            }
+            bed.sleepUntil(cutMillis);
+            if (bed.trouble) {
+                bed.note("the store cuts off the watches that are waiting: " + store.cutWaitingWatches());
+            }
+            for (int index = 0; index < REPLACED; index++) {
+                bed.sleepUntil(cutMillis + LEAVES_MILLIS);
+                Worker old = leaving.get(index);
+                store.put("servers", old.id, old.entry("draining", 2));
+                leftMillis.put(old.id, bed.millis());
+                bed.note("the store has confirmed that " + old.id + " drains");
+            }
+            bed.sleepUntil(cutMillis + NEW_START_MILLIS);
+            for (int index = 1; index <= REPLACED; index++) {
+                workers.add(start(bed, store, APP_WORKERS + (step + 1) * REPLACED + index, "app", onRun));
+            }
+            bed.sleepUntil(cutMillis + Bed.DRAIN_MS + LONGER_MILLIS);
+            for (Worker old : leaving) {
+                store.remove("servers", old.id);
+                old.exit();
+                bed.note("worker " + old.id + " has exited");
+            }
+        }
+        traffic.interrupt();
+        bed.sleepUntil(bed.millis() + DEADLINE_MILLIS + 200);
+
         int served = 0;
-        for (int number = 1; number <= REQUESTS; number++) {
-            Bed.Node node = bed.nodes.get(number % NODES);
-            String requestId = "r" + number;
-            sent.add(requestId);
-            if (number % HIDES_EACH == 0) {
-                hide(bed, node, requestId, "hidden-" + number);
-            } else {
-                Client.Result result = Client.send(
-                        node, "POST", "/pay/1", requestId, Manifest.KEY, DEADLINE_MILLIS, new byte[600]);
-                bed.note("answered " + requestId + " " + result.status() + " " + result.reason());
-                served += result.status() == 200 ? 1 : 0;
+        for (Client.Result result : results.values()) {
+            served += result.status() == 200 ? 1 : 0;
+        }
+        int late = 0;
+        int lost = 0;
+        long latest = 0;
+        for (Run run : List.copyOf(runs)) {
+            Long left = leftMillis.get(run.worker());
+            if (left != null && run.atMillis() > left + Bed.DRAIN_MS) {
+                late++;
+                latest = Math.max(latest, run.atMillis() - left);
+                Client.Result result = results.get(run.requestId());
+                lost += result == null || result.status() != 200 ? 1 : 0;
             }
         }
-        Thread.sleep(500);
-        ran.removeAll(sent);
-        bed.say("requests " + REQUESTS + ", served " + served + ", run at a worker with an id that no client sent "
-                + ran.size() + " " + ran);
-        if (served < REQUESTS / 2) {
+        bed.say("requests " + results.size() + ", served " + served + "; requests that reached a worker later than "
+                + Bed.DRAIN_MS + " ms after the store had confirmed that it drains: " + late + ", the last one after "
+                + latest + " ms; without an answer of it: " + lost);
+        if (served < results.size() / 2) {
             bed.say("too few requests were served");
             return 2;
         }
-        bed.say(ran.isEmpty() ? "UNASKED held" : "UNASKED broken");
-        return ran.isEmpty() ? 0 : 1;
+        bed.say(late > 0 ? "DRAIN broken" : "DRAIN held");
+        return late > 0 ? 1 : 0;
     }
 
-    /** Sends one request whose body is the text of another; without trouble it is sent in chunks. */
-    private static void hide(Bed bed, Bed.Node node, String requestId, String hiddenId) {
-        String hidden = "POST /pay/hidden HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nX-Request-Id: " + hiddenId
-                + "\r\nX-Deadline-Ms: " + DEADLINE_MILLIS + "\r\nApi-Key: " + Manifest.KEY
-                + "\r\nContent-Length: 0\r\n\r\n";
-        String head = "POST /pay/1 HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nX-Request-Id: " + requestId
-                + "\r\nX-Deadline-Ms: " + DEADLINE_MILLIS + "\r\nApi-Key: " + Manifest.KEY + "\r\nTransfer-Encoding: "
-                + (bed.trouble ? "gzip" : "chunked") + "\r\n\r\n";
-        String body = bed.trouble ? hidden : Integer.toHexString(hidden.length()) + "\r\n" + hidden + "\r\n0\r\n\r\n";
-        bed.note("sent " + requestId + " to " + node.name + " with the text of " + hiddenId + " as its body, "
-                + (bed.trouble ? "Transfer-Encoding: gzip" : "in chunks"));
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(node.ip, node.front), 1_000);
-            socket.setSoTimeout((int) DEADLINE_MILLIS);
-            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
-            socket.getOutputStream().flush();
-            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
-            Http.Message answer = Http.answer(in);
-            bed.note("answered " + requestId + " " + answer.status());
-            if (bed.trouble) {
-                Http.Message second = Http.answer(in);
-                bed.note("a second answer on the channel: " + second.status() + " for "
-                        + second.header("x-request-id"));
-            }
-        } catch (IOException e) {
-            bed.note("the channel of " + requestId + ": " + e.getMessage());
-        }
+    private static Worker start(Bed bed, Store store, int number, String service, Worker.Listener onRun)
+            throws IOException {
+        String id = String.format("i-%03d", number);
+        Worker worker = new Worker(bed, bed.network + "." + (50 + number), id, service, 6, WORK_MILLIS, onRun);
+        store.put("servers", worker.id, worker.entry("ready", 1));
+        return worker;
     }
 }
