--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -1,37 +1,39 @@
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The list of workers has two pages, and the workers of a service are replaced one after the other. At each step the
- * store cuts off the waiting watches, so that the nodes list the workers anew while an old one reports that it drains.
- * Counts the requests that reach a worker later than drain_ms after the store has confirmed its report.
+ * Another writer leaves a few entries among the workers' that are of another type and nearly as large as the store
+ * allows. Looks for a node that says that it is ready and takes no new channel for contact_ms, while clients try.
  */
 final class Case8 {
 
-    private static final int NODES = 6;
-    private static final int PAGE_ITEMS = 50;
-    private static final int APP_WORKERS = 12;
-    private static final int OTHER_WORKERS = 50;
-    private static final int STEPS = 5;
-    private static final int REPLACED = 1;
-    private static final long STEP_MILLIS = 5_000;
-    private static final long LEAVES_MILLIS = 44;
-    private static final long NEW_START_MILLIS = 250;
-    private static final long WORK_MILLIS = 250;
-    private static final long BETWEEN_REQUESTS_MILLIS = 8;
-    private static final long DEADLINE_MILLIS = 1_000;
-    private static final long LONGER_MILLIS = 2_500;
+    private static final int NODES = 3;
+    private static final int WORKERS = 3;
+    private static final int ODD_ENTRIES = 5;
+    private static final int ODD_ITEMS = 345_000;
+    private static final long BETWEEN_ODD_MILLIS = 1_000;
+    private static final long BETWEEN_REQUESTS_MILLIS = 50;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int CLIENTS = 7;
+    private static final long CHECK_MILLIS = 500;
+    private static final long CALM_MILLIS = 5_000;
+    private static final long AFTER_MILLIS = 50_000;
 
-    private record Run(String requestId, String worker, long atMillis) {}
+    /** A client's try to open a channel to a node, and what its request ended with. */
+    private record Try(Bed.Node node, long atMillis, boolean accepted, int status) {}
+
+    /** What a node said when the platform asked whether it is ready. */
+    private record Check(Bed.Node node, long atMillis, boolean ready) {}
 
     public static void main(String[] arguments) throws Exception {
         int code = 2;
@@ -44,44 +46,41 @@
     }
 
     private static int play(Bed bed) throws Exception {
-        List<Run> runs = Collections.synchronizedList(new ArrayList<>());
-        Map<String, Client.Result> results = new ConcurrentHashMap<>();
         Store store = new Store(bed.network + ".1");
-        store.pageItems = PAGE_ITEMS;
-        Worker.Listener onRun = (at, request, atMillis) -> {
-            runs.add(new Run(request.header("x-request-id"), at.id, atMillis));
-            bed.note("run " + request.header("x-request-id") + " at " + at.id);
-        };
-        Deque<Worker> workers = new ArrayDeque<>();
-        for (int index = 1; index <= APP_WORKERS + REPLACED; index++) {
-            workers.add(start(bed, store, index, "app", onRun));
-        }
-        for (int index = 1; index <= OTHER_WORKERS; index++) {
-            start(bed, store, 100 + index, "other", onRun);
+        for (int index = 1; index <= WORKERS; index++) {
+            Worker worker = new Worker(
+                    bed,
+                    bed.network + "." + (100 + index),
+                    "i-" + index,
+                    "app",
+                    6,
+                    20,
+                    (at, request, atMillis) -> bed.note("run " + request.header("x-request-id") + " at " + at.id));
+            store.put("servers", worker.id, worker.entry("ready", 1));
         }
         store.put(
                 "config",
                 "main",
-                Manifest.of(1, 96, List.of(Manifest.route("pay", "/pay/", "unsafe", DEADLINE_MILLIS, 300, 1))));
+                Manifest.of(1, 96, List.of(Manifest.route("look", "/look/", "safe", TIMEOUT_MILLIS, 300, 2))));
         bed.startNodes(NODES, store);
         if (!bed.awaitReady(40_000)) {
             bed.say("the nodes did not become ready");
             return 2;
         }
+        List<Try> tries = Collections.synchronizedList(new ArrayList<>());
+        List<Check> checks = Collections.synchronizedList(new ArrayList<>());
+        AtomicInteger open = new AtomicInteger();
         long trafficMillis = bed.millis();
         bed.note("all nodes are ready; traffic begins");
         Thread traffic = new Thread(() -> {
-            Random random = new Random(10);
             try {
                 for (int number = 1; ; number++) {
                     String requestId = "r" + number;
-                    Bed.Node node = bed.nodes.get(random.nextInt(NODES));
+                    Bed.Node node = bed.nodes.get(number % NODES);
+                    open.incrementAndGet();
                     Store.daemon(() -> {
-                        bed.note("sent " + requestId + " to " + node.name);
-                        Client.Result result = Client.send(
-                                node, "POST", "/pay/1", requestId, Manifest.KEY, DEADLINE_MILLIS, new byte[600]);
-                        results.put(requestId, result);
-                        bed.note("answered " + requestId + " " + result.status() + " " + result.reason());
+                        request(bed, node, requestId, tries);
+                        open.decrementAndGet();
                     });
                     Thread.sleep(BETWEEN_REQUESTS_MILLIS);
                 }
@@ -89,73 +88,117 @@
                 // the traffic has ended
             }
         });
+        for (Bed.Node node : bed.nodes) {
+            Store.daemon(() -> check(bed, node, checks));
+        }
         traffic.setDaemon(true);
         traffic.start();
+        bed.sleepUntil(trafficMillis + CALM_MILLIS);
+        if (bed.trouble) {
+            List<Object> odd = new ArrayList<>(Collections.nCopies(ODD_ITEMS, Map.of()));
+            for (int index = 1; index <= ODD_ENTRIES; index++) {
+                store.put("servers", "odd-" + index, odd);
+                bed.note("another writer has written the entry odd-" + index + ", " + Json.write(odd).length()
+                        + " bytes");
+                Thread.sleep(BETWEEN_ODD_MILLIS);
+            }
+        }
+        bed.sleepUntil(trafficMillis + CALM_MILLIS + AFTER_MILLIS);
+        traffic.interrupt();
+        for (long until = bed.millis() + 2 * TIMEOUT_MILLIS + 500; open.get() > 0 && bed.millis() < until; ) {
+            Thread.sleep(50);
+        }
+        for (Bed.Node node : bed.nodes) {
+            String log = Files.readString(bed.temporary.resolve(node.name + ".log"));
+            bed.say(node.name + ": " + (node.process.isAlive() ? "runs" : "has ended") + ", ready " + node.isReady()
+                    + ", OutOfMemoryError in its log: "
+                    + log.lines().filter(line -> line.contains("OutOfMemoryError")).count());
+        }
+        int served = 0;
+        for (Try made : List.copyOf(tries)) {
+            served += made.status() == 200 ? 1 : 0;
+        }
+        bed.say("requests " + tries.size() + ", served " + served);
+        if (served < CALM_MILLIS / BETWEEN_REQUESTS_MILLIS / 2) {
+            bed.say("too few requests were served");
+            return 2;
+        }
+        int broken = 0;
+        for (Bed.Node node : bed.nodes) {
+            long span = longestSpan(node, List.copyOf(tries), List.copyOf(checks));
+            broken += span >= Bed.CONTACT_MS ? 1 : 0;
+            bed.say(node.name + ": the longest span in which it said that it is ready and took no channel, while "
+                    + CLIENTS + " clients or more tried: " + span + " ms");
+        }
+        bed.say(broken > 0 ? "RECOVER broken" : "RECOVER held");
+        return broken > 0 ? 1 : 0;
+    }
 
-        Map<String, Long> leftMillis = new HashMap<>();
-        for (int step = 0; step < STEPS; step++) {
-            long cutMillis = trafficMillis + 4_000 + step * STEP_MILLIS;
-            List<Worker> leaving = new ArrayList<>();
-            for (int index = 0; index < REPLACED; index++) {
-                leaving.add(workers.remove());
+    /** Returns the longest time between two checks with a 200, all in between too, and no channel taken meanwhile. */
+    private static long longestSpan(Bed.Node node, List<Try> tries, List<Check> checks) {
+        long longest = 0;
+        long since = -1;
+        for (Check check : checks) {
+            if (!check.node().equals(node)) {
+                continue;
             }
-            bed.sleepUntil(cutMillis);
-            if (bed.trouble) {
-                bed.note("the store cuts off the watches that are waiting: " + store.cutWaitingWatches());
+            if (!check.ready()) {
+                since = -1;
+                continue;
             }
-            for (int index = 0; index < REPLACED; index++) {
-                bed.sleepUntil(cutMillis + LEAVES_MILLIS);
-                Worker old = leaving.get(index);
-                store.put("servers", old.id, old.entry("draining", 2));
-                leftMillis.put(old.id, bed.millis());
-                bed.note("the store has confirmed that " + old.id + " drains");
+            if (since < 0) {
+                since = check.atMillis();
+                continue;
             }
-            bed.sleepUntil(cutMillis + NEW_START_MILLIS);
-            for (int index = 1; index <= REPLACED; index++) {
-                workers.add(start(bed, store, APP_WORKERS + (step + 1) * REPLACED + index, "app", onRun));
+            int clients = 0;
+            long accepted = -1;
+            for (Try made : tries) {
+                if (made.node().equals(node) && made.atMillis() >= since && made.atMillis() <= check.atMillis()) {
+                    clients++;
+                    accepted = made.accepted() ? Math.max(accepted, made.atMillis()) : accepted;
+                }
             }
-            bed.sleepUntil(cutMillis + Bed.DRAIN_MS + LONGER_MILLIS);
-            for (Worker old : leaving) {
-                store.remove("servers", old.id);
-                old.exit();
-                bed.note("worker " + old.id + " has exited");
+            if (accepted >= 0) {
+                since = check.atMillis();
+            } else if (clients >= CLIENTS) {
+                longest = Math.max(longest, check.atMillis() - since);
             }
         }
-        traffic.interrupt();
-        bed.sleepUntil(bed.millis() + DEADLINE_MILLIS + 200);
+        return longest;
+    }
 
-        int served = 0;
-        for (Client.Result result : results.values()) {
-            served += result.status() == 200 ? 1 : 0;
-        }
-        int late = 0;
-        int lost = 0;
-        long latest = 0;
-        for (Run run : List.copyOf(runs)) {
-            Long left = leftMillis.get(run.worker());
-            if (left != null && run.atMillis() > left + Bed.DRAIN_MS) {
-                late++;
-                latest = Math.max(latest, run.atMillis() - left);
-                Client.Result result = results.get(run.requestId());
-                lost += result == null || result.status() != 200 ? 1 : 0;
+    private static void check(Bed bed, Bed.Node node, List<Check> checks) {
+        try {
+            while (true) {
+                boolean ready = node.isReady();
+                checks.add(new Check(node, bed.millis(), ready));
+                bed.note("check of " + node.name + ": " + (ready ? "ready" : "not ready"));
+                Thread.sleep(CHECK_MILLIS);
             }
+        } catch (InterruptedException e) {
+            // the case has ended
         }
-        bed.say("requests " + results.size() + ", served " + served + "; requests that reached a worker later than "
-                + Bed.DRAIN_MS + " ms after the store had confirmed that it drains: " + late + ", the last one after "
-                + latest + " ms; without an answer of it: " + lost);
-        if (served < results.size() / 2) {
-            bed.say("too few requests were served");
-            return 2;
-        }
-        bed.say(late > 0 ? "DRAIN broken" : "DRAIN held");
-        return late > 0 ? 1 : 0;
     }
 
-    private static Worker start(Bed bed, Store store, int number, String service, Worker.Listener onRun)
-            throws IOException {
-        String id = String.format("i-%03d", number);
-        Worker worker = new Worker(bed, bed.network + "." + (50 + number), id, service, 6, WORK_MILLIS, onRun);
-        store.put("servers", worker.id, worker.entry("ready", 1));
-        return worker;
+    private static void request(Bed bed, Bed.Node node, String requestId, List<Try> tries) {
+        long atMillis = bed.millis();
+        boolean accepted = false;
+        int status = 0;
+        String reason = "";
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(node.ip, node.front), (int) TIMEOUT_MILLIS);
+            accepted = true;
+            socket.setSoTimeout((int) TIMEOUT_MILLIS + 500);
+            String head = "GET /look/1 HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nX-Request-Id: " + requestId
+                    + "\r\nX-Deadline-Ms: " + TIMEOUT_MILLIS + "\r\nApi-Key: " + Manifest.KEY + "\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            status = Http.answer(new BufferedInputStream(socket.getInputStream())).status();
+        } catch (IOException e) {
+            reason = String.valueOf(e.getMessage());
+        }
+        tries.add(new Try(node, atMillis, accepted, status));
+        bed.note("request " + requestId + " to " + node.name + " at " + atMillis + ": channel "
+                + (accepted ? "taken" : "not taken") + ", status " + status + " " + reason);
     }
 }
