--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -5,7 +5,6 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -15,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients of one zone send bodies of half of max_body_bytes in chunks; a burst has 2.4 times as many of them at a time.
+ * Clients of one zone send bodies of half of max_body_bytes in chunks; a burst has 1.6 times as many of them at a time.
  * Counts the requests that a worker ran with another body than the client's. Also notes the requests that got no answer
  * within half a second after their route's timeout, and whether the nodes still work once the burst is over.
  */
@@ -23,7 +22,7 @@
 
     private static final int NODES = 3;
     private static final int USUAL_CLIENTS = 16;
-    private static final int BURST_CLIENTS = 38;
+    private static final int BURST_CLIENTS = 26;
     private static final long BURST_MILLIS = 9_000;
     private static final int BODY_BYTES = 2_200_000;
     private static final long WORK_MILLIS = 400;
@@ -130,7 +129,7 @@
                 bed.note("afterwards " + node.name + " answers " + result.status() + " " + result.reason());
                 served += result.status() == 200 ? 1 : 0;
             }
-            String log = Files.readString(bed.temporary.resolve(node.name + ".log"));
+            String log = bed.log(node);
             bed.say(node.name + ": " + (node.process.isAlive() ? "runs" : "has ended") + ", ready " + node.isReady()
                     + ", serves " + served + " of 5 small requests afterwards; OutOfMemoryError in its log: "
                     + log.lines().filter(line -> line.contains("OutOfMemoryError")).count());
--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -109,7 +108,7 @@
             Thread.sleep(50);
         }
         for (Bed.Node node : bed.nodes) {
-            String log = Files.readString(bed.temporary.resolve(node.name + ".log"));
+            String log = bed.log(node);
             bed.say(node.name + ": " + (node.process.isAlive() ? "runs" : "has ended") + ", ready " + node.isReady()
                     + ", OutOfMemoryError in its log: "
                     + log.lines().filter(line -> line.contains("OutOfMemoryError")).count());
--- a/review/standins-2/Bed.java
+++ b/review/standins-2/Bed.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URL;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -221,6 +222,11 @@
                 "");
     }
 
+    /** Returns what a node has logged. */
+    String log(Node node) throws IOException {
+        return Files.readString(temporary.resolve(node.name + ".log"), StandardCharsets.ISO_8859_1);
+    }
+
     /** Waits until all nodes are ready; returns false if that takes too long. */
     boolean awaitReady(long withinMillis) throws InterruptedException {
         long untilMillis = millis() + withinMillis;
