--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -28,8 +28,8 @@
     private static final long CALM_MILLIS = 5_000;
     private static final long AFTER_MILLIS = 50_000;
 
-    /** A client's try to open a channel to a node, and what its request ended with. */
-    private record Try(Bed.Node node, long atMillis, boolean accepted, int status) {}
+    /** A client's try to open a channel to a node, when that was taken (-1 if not), and what its request ended with. */
+    private record Try(Bed.Node node, long atMillis, long takenMillis, int status) {}
 
     /** What a node said when the platform asked whether it is ready. */
     private record Check(Bed.Node node, long atMillis, boolean ready) {}
@@ -150,14 +150,19 @@
                 continue;
             }
             int clients = 0;
-            long accepted = -1;
+            boolean taken = false;
             for (Try made : tries) {
-                if (made.node().equals(node) && made.atMillis() >= since && made.atMillis() <= check.atMillis()) {
+                if (!made.node().equals(node)) {
+                    continue;
+                }
+                if (made.atMillis() >= since && made.atMillis() <= check.atMillis()) {
                     clients++;
-                    accepted = made.accepted() ? Math.max(accepted, made.atMillis()) : accepted;
+                }
+                if (made.takenMillis() >= since && made.takenMillis() <= check.atMillis()) {
+                    taken = true;
                 }
             }
-            if (accepted >= 0) {
+            if (taken) {
                 since = check.atMillis();
             } else if (clients >= CLIENTS) {
                 longest = Math.max(longest, check.atMillis() - since);
@@ -181,12 +186,12 @@
 
     private static void request(Bed bed, Bed.Node node, String requestId, List<Try> tries) {
         long atMillis = bed.millis();
-        boolean accepted = false;
+        long takenMillis = -1;
         int status = 0;
         String reason = "";
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(node.ip, node.front), (int) TIMEOUT_MILLIS);
-            accepted = true;
+            takenMillis = bed.millis();
             socket.setSoTimeout((int) TIMEOUT_MILLIS + 500);
             String head = "GET /look/1 HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nX-Request-Id: " + requestId
                     + "\r\nX-Deadline-Ms: " + TIMEOUT_MILLIS + "\r\nApi-Key: " + Manifest.KEY + "\r\n\r\n";
@@ -196,8 +201,8 @@
         } catch (IOException e) {
             reason = String.valueOf(e.getMessage());
         }
-        tries.add(new Try(node, atMillis, accepted, status));
+        tries.add(new Try(node, atMillis, takenMillis, status));
         bed.note("request " + requestId + " to " + node.name + " at " + atMillis + ": channel "
-                + (accepted ? "taken" : "not taken") + ", status " + status + " " + reason);
+                + (takenMillis >= 0 ? "taken" : "not taken") + ", status " + status + " " + reason);
     }
 }
