--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -14,9 +14,7 @@
 import io.lagoonseam.wire.ForwardMessages.ObjectCopy;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -37,10 +35,9 @@
     private final LongConsumer onNotFollowed;
     private final Runnable onSilence;
     private final StoreReachability storeReachability;
-    private final Map<String, CollectionObject> upstreams = new HashMap<>();
+    private final UpstreamObjects upstreams = new UpstreamObjects();
     private RoutingConfiguration configuration;
     private CollectionObject configurationObject;
-    private long upstreamRevision = -1;
 
     StoreReplica(
             ForwardEnvironment environment,
@@ -71,7 +68,7 @@
 
     @Override
     public long upstreamRevision() {
-        return upstreamRevision;
+        return upstreams.revision();
     }
 
     /** Returns the listener for the configuration collection. */
@@ -182,13 +179,12 @@
             directory.recordRemovals(removed, nowMillis());
             for (int index = 0; index < objects.size(); index++) {
                 CollectionObject object = objects.get(index);
-                upstreamRevision = Math.max(upstreamRevision, object.revision());
                 if (object.removed()) {
-                    upstreams.remove(object.name());
                     long removedAt = removalRevision(object, objects.subList(index + 1, objects.size()), revision);
+                    upstreams.remove(object, removedAt);
                     directory.applyRemoval(object.name(), removedAt, nowMillis());
                 } else {
-                    upstreams.put(object.name(), object);
+                    upstreams.change(object);
                     decodeUpstream(object).ifPresent(directory::applyChange);
                 }
             }
@@ -233,20 +229,14 @@
     }
 
     private void applyListing(List<CollectionObject> objects, long revision) {
-        if (upstreamRevision >= 0 && StoreRevision.era(revision) > StoreRevision.era(upstreamRevision)) {
+        if (upstreams.revision() >= 0 && StoreRevision.era(revision) > StoreRevision.era(upstreams.revision())) {
             // the copy may lack workers that registered after it was taken, which write their records again
             environment.events().record(EventCode.STORE_RESTORED, "era " + StoreRevision.era(revision));
             directory.recordOutage(nowMillis());
         }
-        upstreams.clear();
         List<UpstreamRecord> records = new ArrayList<>();
-        long newest = upstreamRevision;
-        for (CollectionObject object : objects) {
-            upstreams.put(object.name(), object);
-            decodeUpstream(object).ifPresent(records::add);
-            newest = Math.max(newest, object.revision());
-        }
-        upstreamRevision = Math.max(newest, StoreRevision.of(Math.max(0, StoreRevision.era(revision)), 0));
+        objects.forEach(object -> decodeUpstream(object).ifPresent(records::add));
+        upstreams.list(objects, revision);
         directory.applyListing(records, revision, nowMillis());
         onUpstreams.run();
     }
@@ -254,11 +244,11 @@
     @Override
     public ForwardMessages.Snapshot snapshot() {
         List<ObjectCopy> copies = new ArrayList<>();
-        upstreams.values().forEach(object -> copies.add(toCopy(object)));
+        upstreams.objects().forEach(object -> copies.add(toCopy(object)));
         return new ForwardMessages.Snapshot(
                 configurationVersion(),
                 configurationObject == null ? List.of() : List.of(toCopy(configurationObject)),
-                upstreamRevision,
+                upstreams.revision(),
                 copies);
     }
 
@@ -275,10 +265,10 @@
         if (snapshot.configurationVersion() >= configurationVersion()) {
             snapshot.configuration().forEach(copy -> applyConfiguration(toCollectionObject(copy)));
         }
-        if (snapshot.upstreamRevision() > upstreamRevision) {
+        if (snapshot.upstreamRevision() > upstreams.revision()) {
             applyListing(
                     snapshot.upstreams().stream().map(this::toCollectionObject).toList(), snapshot.upstreamRevision());
-            upstreamRevision = Math.max(upstreamRevision, snapshot.upstreamRevision());
+            upstreams.completeUpTo(snapshot.upstreamRevision());
         }
     }
 
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/store/StoreStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/store/StoreStandIn.java
@@ -19,7 +19,7 @@
  */
 public final class StoreStandIn extends AbstractStandIn {
 
-    private static final int PAGE_SIZE = 500;
+    private static final int DEFAULT_PAGE_SIZE = 500;
     private static final int MAX_HISTORY_CHANGES = 10_000;
     private static final long RATE_WINDOW_MILLIS = 1_000;
 
@@ -44,6 +44,8 @@
     private long windowStartMillis;
     private long callsInWindow;
     private long calls;
+    private int pageSize = DEFAULT_PAGE_SIZE;
+    private long listDelayMillis;
     private long era;
     private String eraHeader;
     private Copy copy;
@@ -107,19 +109,25 @@
         String watch = context.request().getParam("watch");
         if (watch != null) {
             watch(context, kind, Long.parseLong(watch));
-            return;
+        } else if (listDelayMillis > 0) {
+            vertx.setTimer(listDelayMillis, fired -> list(context, kind));
+        } else {
+            list(context, kind);
         }
+    }
+
+    private void list(RoutingContext context, String kind) {
         String after = context.request().getParam("after_revision");
         Map<String, JsonObject> remaining =
                 after == null ? objectsOfKind(kind) : objectsOfKind(kind).tailMap(after, false);
         JsonArray items = new JsonArray();
-        remaining.values().stream().limit(PAGE_SIZE).forEach(items::add);
+        remaining.values().stream().limit(pageSize).forEach(items::add);
         sendJson(
                 context,
                 OK,
                 new JsonObject()
                         .put("items", items)
-                        .put("more", remaining.size() > PAGE_SIZE)
+                        .put("more", remaining.size() > pageSize)
                         .put("current_rev", revision));
     }
 
@@ -300,6 +308,8 @@
         unresponsive = faults.getBoolean("silent", unresponsive);
         dropsWriteResponses = faults.getBoolean("losesWriteAnswers", dropsWriteResponses);
         callsPerSecond = faults.getLong("callsPerSecond", callsPerSecond);
+        pageSize = faults.getInteger("pageSize", pageSize);
+        listDelayMillis = faults.getLong("listDelayMillis", listDelayMillis);
         if (faults.containsKey("refusedHosts")) {
             refusedHosts.clear();
             faults.getJsonArray("refusedHosts").forEach(host -> refusedHosts.add((String) host));
