--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/soak/NodeProcess.java
@@ -72,6 +72,7 @@
                 "-Xss256k",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
+                "-XX:+ExitOnOutOfMemoryError",
                 "-Djava.net.preferIPv4Stack=true",
                 "-cp",
                 System.getProperty("java.class.path"),
@@ -104,7 +105,21 @@
         }
     }
 
-    private boolean ready() {
+    /**
+     * Returns whether the process runs.
+     *
+     * @return false before the start and after its end
+     */
+    public boolean running() {
+        return process != null && process.isAlive();
+    }
+
+    /**
+     * Returns whether the node says that it is ready.
+     *
+     * @return false also if it does not answer
+     */
+    public boolean ready() {
         try {
             HttpURLConnection connection =
                     (HttpURLConnection) URI.create("http://" + HOST + ":" + addresses.readyPort() + "/ready")
--- a/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
+++ b/lagoonseam-cli/src/main/java/io/lagoonseam/cli/NodeCommand.java
@@ -18,6 +18,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -77,6 +79,24 @@
                         : Optional.of(new ListenAddress(settings.get().callers().host(), Integer.parseInt(port))));
     }
 
+    /**
+     * Ends the process after an error of the virtual machine, such as a lack of memory, on whichever task it was met.
+     */
+    private static void onUncaught(Throwable cause, JsonLineLog events) {
+        if (!(cause instanceof VirtualMachineError)) {
+            StringWriter trace = new StringWriter();
+            cause.printStackTrace(new PrintWriter(trace));
+            events.record(EventCode.TASK_FAILED, trace.toString());
+            return;
+        }
+        try {
+            events.record(EventCode.NODE_FAILED, String.valueOf(cause));
+            events.close();
+        } finally {
+            Runtime.getRuntime().halt(ExitCode.FAILURE);
+        }
+    }
+
     private static int serve(
             NodeSettings settings,
             Function<List<String>, Optional<NodeSettings>> reader,
@@ -85,6 +105,7 @@
         Vertx vertx = Vertx.vertx(
                 new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         JsonLineLog events = new JsonLineLog(settings.nodeName(), new SystemTimeSource());
+        vertx.exceptionHandler(cause -> onUncaught(cause, events));
         CurrentSettings current = new CurrentSettings(settings);
         ForwardEnvironment environment = new ForwardEnvironment(
                 vertx,
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/audit/EventCode.java
@@ -34,6 +34,12 @@
     /** Changed settings cannot be read; the previous ones stay in force. */
     SETTINGS_UNREADABLE(112, EventLevel.ERROR, "Changed settings cannot be read; those before stay in force"),
 
+    /** A task of the node ended with an error that it does not expect; the others go on. */
+    TASK_FAILED(113, EventLevel.ERROR, "A task of the node failed"),
+
+    /** An error of the virtual machine ends the process, since any of its tasks may be lost. */
+    NODE_FAILED(114, EventLevel.ERROR, "The process ends, since it cannot go on as a whole"),
+
     /** The bearer key is missing or not part of the configuration in force. */
     KEY_UNKNOWN(201, EventLevel.INFO, "The bearer key is not known"),
     /** The request body is not a valid JSON object. */
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/DigestKey.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/quarantine/DigestKey.java
@@ -2,7 +2,9 @@
 
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.ByteBuffer;
 import java.security.SecureRandom;
+import java.util.List;
 
 /**
  * The key of the digests of requests, which is the same on all nodes and known to no caller, so that none can construct
@@ -41,15 +43,17 @@
      * @param host the host that it addresses
      * @param uri its path and query
      * @param caller its caller
-     * @param body its body
+     * @param body the parts of its body, which are backed by arrays; into how many it is split does not matter
      * @return the digest
      */
-    public long digest(String host, String uri, String caller, byte[] body) {
+    public long digest(String host, String uri, String caller, List<ByteBuffer> body) {
         HashStream64 stream = Hashing.wyhashFinal4(seed, secretSeed).hashStream();
-        return stream.putString(host)
-                .putString(uri)
-                .putString(caller)
-                .putByteArray(body)
-                .getAsLong();
+        stream.putString(host).putString(uri).putString(caller);
+        int length = 0;
+        for (ByteBuffer part : body) {
+            stream.putBytes(part.array(), part.arrayOffset() + part.position(), part.remaining());
+            length += part.remaining();
+        }
+        return stream.putInt(length).getAsLong();
     }
 }
--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/DigestKeysTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/quarantine/DigestKeysTest.java
@@ -3,7 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** Tests the digests of requests, and that nodes agree on their key. */
@@ -12,8 +16,26 @@
     private static final DigestKey OLD = new DigestKey(1, 2, 1_000);
     private static final DigestKey NEW = new DigestKey(3, 4, 2_000);
 
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
+    /** The digest of one request as all builds compute it. */
+    private static final long WHOLE_BODY_DIGEST = Hashing.wyhashFinal4(1, 2)
+            .hashStream()
+            .putString("h")
+            .putString("/a")
+            .putString("w")
+            .putByteArray("body".getBytes(StandardCharsets.UTF_8))
+            .getAsLong();
+
+    private static List<ByteBuffer> bytes(String... parts) {
+        return Stream.of(parts)
+                .map(part -> ByteBuffer.wrap(part.getBytes(StandardCharsets.UTF_8)))
+                .toList();
+    }
+
+    /** Guards against nodes of two builds that name the same request differently. */
+    @Test
+    public void aDigestDoesNotDependOnThePartsOfABody() {
+        assertEquals(OLD.digest("h", "/a", "w", bytes("body")), WHOLE_BODY_DIGEST);
+        assertEquals(OLD.digest("h", "/a", "w", bytes("b", "", "od", "y")), WHOLE_BODY_DIGEST);
     }
 
     @Test
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/CallerResponse.java
@@ -22,6 +22,7 @@
     private final HttpServerResponse response;
     private long firstEventMillis = NO_EVENT_YET;
     private boolean closeDelimited;
+    private boolean writesAnswer;
 
     CallerResponse(ForwardProtocol protocol, HttpServerRequest request, RequestSource source) {
         this.protocol = protocol;
@@ -75,8 +76,16 @@
         CloseDelimitedResponse.beginOn(request.connection());
     }
 
-    private void end(Buffer body) {
+    /** Returns whether a worker's complete response is being written, as fast as the caller reads it. */
+    boolean writesAnswer() {
+        return writesAnswer;
+    }
+
+    private void end(Buffer body, Runnable onWritten) {
+        writesAnswer = true;
         response.end(body).onComplete(written -> {
+            writesAnswer = false;
+            onWritten.run();
             if (closeDelimited) {
                 if (written.succeeded()) {
                     CloseDelimitedResponse.endOn(request.connection());
@@ -104,11 +113,12 @@
 
     /** Ends a stream. */
     void endStream() {
-        end(Buffer.buffer());
+        end(Buffer.buffer(), () -> {});
     }
 
     /** Writes a worker's complete response, which is framed only if that of the worker is. */
-    void writeComplete(UpstreamResponseHeaders answer, MultiMap headers, Buffer body, Outcome outcome) {
+    void writeComplete(
+            UpstreamResponseHeaders answer, MultiMap headers, Buffer body, Outcome outcome, Runnable onWritten) {
         response.setStatusCode(answer.status());
         response.headers().addAll(protocol.responseHeaders(headers));
         source.addOutcome(response.headers(), outcome);
@@ -116,7 +126,7 @@
             response.setChunked(true);
             delimitByClose();
         }
-        end(body);
+        end(body, onWritten);
     }
 
     /** Writes a response that this node generates itself; its body is the explanation, which may be empty. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/DetourServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/DetourServer.java
@@ -1,6 +1,8 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.BodyMemory;
+import io.lagoonseam.core.forward.CallerLimits;
 import io.lagoonseam.core.forward.Lane;
 import io.lagoonseam.core.forward.Route;
 import io.lagoonseam.core.forward.WeightedService;
@@ -13,7 +15,6 @@
 import io.lagoonseam.wire.DetourMessages.Terms;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
@@ -33,9 +34,11 @@
 
     private static final int ACCEPT_BACKLOG = 1_024;
 
-    /** The share of the memory of a node that the bodies of requests of other nodes may occupy. */
+    /** The share of the memory of a node, and of its heap, that the bodies of requests of other nodes may occupy. */
     private static final double BODY_MEMORY_SHARE = 0.05;
 
+    private static final double BODY_HEAP_SHARE = 0.08;
+
     /** The share of the descriptors of a node that requests of other nodes may use, each two of them. */
     private static final double DESCRIPTOR_SHARE = 0.15;
 
@@ -49,6 +52,7 @@
     private final ForwardDispatcher dispatcher;
     private final RequestMetrics metrics;
     private final DetourAdmission admission;
+    private final BodyMemory bodyMemory;
     private int connections;
     private boolean measuring;
     private double lagMillis;
@@ -59,9 +63,9 @@
         this.dispatcher = dispatcher;
         this.metrics = metrics;
         NodeSettings.Resources resources = environment.settings().resources();
-        this.admission = new DetourAdmission(
-                (int) (DESCRIPTOR_SHARE * resources.maxDescriptors() / 2),
-                Math.round(BODY_MEMORY_SHARE * resources.memoryMegabytes() * (1 << 20)));
+        long bodyBytes = resources.boundBytes(BODY_MEMORY_SHARE, BODY_HEAP_SHARE);
+        this.admission = new DetourAdmission((int) (DESCRIPTOR_SHARE * resources.maxDescriptors() / 2), bodyBytes);
+        this.bodyMemory = new BodyMemory(bodyBytes, CallerLimits.DEFAULT::bodyBytes);
     }
 
     Future<Void> start() {
@@ -112,37 +116,97 @@
     }
 
     private void onRequest(HttpServerRequest request) {
-        long arrivedMillis = nowMillis();
         request.response().putHeader("Connection", "close");
-        request.response().endHandler(nothing -> request.connection().close());
-        request.body().onSuccess(body -> onRead(request, body, arrivedMillis));
-    }
-
-    private void onRead(HttpServerRequest request, Buffer body, long arrivedMillis) {
         Optional<Terms> terms = DetourHeader.terms(request.headers());
         if (terms.isEmpty() || !usable(terms.get())) {
             environment
                     .events()
                     .record(EventCode.DETOUR_MALFORMED, request.remoteAddress() + ": no usable terms of a request");
+            closeAfterResponse(request);
             request.response().setStatusCode(BAD_REQUEST).end();
             return;
         }
-        if (stopping || !admission.tryBegin(terms.get().priority(), body.length(), lagMillis)) {
-            refuse(request, stopping ? "this node is stopping" : "this node takes no more requests of others");
-            return;
+        new SentRequest(request, terms.get()).start();
+    }
+
+    private static void closeAfterResponse(HttpServerRequest request) {
+        request.response().endHandler(nothing -> request.connection().close());
+    }
+
+    /** One request that another node has sent. */
+    private final class SentRequest implements BodyReader.Listener {
+
+        private final HttpServerRequest request;
+        private final Terms terms;
+        private final long arrivedMillis = nowMillis();
+        private final BodyReader reader;
+
+        SentRequest(HttpServerRequest request, Terms terms) {
+            this.request = request;
+            this.terms = terms;
+            // the other node has checked the length, and the memory bounds it here
+            BodyReader.Limits limits = new BodyReader.Limits(Long.MAX_VALUE, terms.remainingMillis());
+            this.reader = new BodyReader(environment, bodyMemory, request, limits, terms::priority, this);
+        }
+
+        void start() {
+            reader.start();
+        }
+
+        @Override
+        public void onRead(RequestBody body) {
+            closeAfterResponse(request);
+            if (stopping || !admission.tryBegin(terms.priority(), body.length(), lagMillis)) {
+                reader.release();
+                refuse(stopping ? "this node is stopping" : "this node takes no more requests of others");
+                return;
+            }
+            measureLag();
+            boolean accepted = false;
+            try {
+                new ForwardedRequest(
+                                environment,
+                                dispatcher,
+                                metrics,
+                                admitted(terms, request.headers()),
+                                new PeerSource(terms),
+                                request,
+                                body,
+                                arrivedMillis - terms.ageMillis(),
+                                () -> onDone(body.length()))
+                        .start();
+                accepted = true;
+            } finally {
+                if (!accepted) {
+                    request.connection().close();
+                    onDone(body.length());
+                }
+            }
+        }
+
+        private void onDone(int bodyBytes) {
+            admission.ended(bodyBytes);
+            reader.release();
+        }
+
+        @Override
+        public void onFault(BodyReader.Fault fault) {
+            if (fault == BodyReader.Fault.NO_ROOM) {
+                request.response().endHandler(nothing -> reader.closeUnread());
+                refuse("this node has no memory for requests of others");
+            } else {
+                request.connection().close();
+            }
+        }
+
+        private void refuse(String reason) {
+            CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
+            request.response().setStatusCode(SERVICE_UNAVAILABLE);
+            environment.protocol().addNodeHeaders(request.response().headers(), callerHeaders.requestId(), 0);
+            DetourHeader.write(
+                    request.response().headers(), new Outcome(DetourMessages.Result.NOT_TAKEN, 0, 0, "", reason));
+            request.response().end();
         }
-        measureLag();
-        new ForwardedRequest(
-                        environment,
-                        dispatcher,
-                        metrics,
-                        admitted(terms.get(), request.headers()),
-                        new PeerSource(terms.get()),
-                        request,
-                        body,
-                        arrivedMillis - terms.get().ageMillis(),
-                        () -> admission.ended(body.length()))
-                .start();
     }
 
     private static boolean usable(Terms terms) {
@@ -158,15 +222,6 @@
                 && terms.remainingMillis() > 0;
     }
 
-    private void refuse(HttpServerRequest request, String reason) {
-        CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
-        request.response().setStatusCode(SERVICE_UNAVAILABLE);
-        environment.protocol().addNodeHeaders(request.response().headers(), callerHeaders.requestId(), 0);
-        DetourHeader.write(
-                request.response().headers(), new Outcome(DetourMessages.Result.NOT_TAKEN, 0, 0, "", reason));
-        request.response().end();
-    }
-
     private AdmittedRequest admitted(Terms terms, MultiMap headers) {
         CallerRequestHeaders sent = environment.protocol().parseCallerHeaders(headers);
         CallerRequestHeaders callerHeaders = new CallerRequestHeaders(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardDispatcher.java
@@ -33,7 +33,6 @@
 import io.lagoonseam.entry.duty.UsageMeter;
 import io.lagoonseam.entry.placement.Placement;
 import io.lagoonseam.entry.placement.PlacementClient;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
@@ -70,9 +69,11 @@
      */
     private static final long IDLE_TRUSTED_MILLIS = 1_000;
 
-    /** The share of the memory of a node that answers may occupy until they are forwarded. */
+    /** The share of the memory of a node, and of its heap, that answers may occupy until they are forwarded. */
     private static final double ANSWER_MEMORY_SHARE = 0.05;
 
+    private static final double ANSWER_HEAP_SHARE = 0.15;
+
     /** The largest answer, or event of a stream, that a node holds until it is forwarded, in bytes. */
     private static final long MAX_ANSWER_BYTES = 8 << 20;
 
@@ -109,9 +110,9 @@
         this.time = environment.time();
         this.log = environment.events();
         this.directory = directory;
-        int memoryMegabytes = environment.settings().resources().memoryMegabytes();
-        this.answerBuffers =
-                new AnswerBuffers<>(Math.round(ANSWER_MEMORY_SHARE * memoryMegabytes * (1 << 20)), MAX_ANSWER_BYTES);
+        this.answerBuffers = new AnswerBuffers<>(
+                environment.settings().resources().boundBytes(ANSWER_MEMORY_SHARE, ANSWER_HEAP_SHARE),
+                MAX_ANSWER_BYTES);
         this.reach = new WorkerReach(environment, this::servingWorkers);
         reach.onCutOff(this::onCutOff);
         this.crashCheck = new CrashCheck(
@@ -195,7 +196,7 @@
     }
 
     /** Creates what decides whether the quarantine lets a request through. */
-    QuarantineGate newGate(AdmittedRequest admitted, HttpServerRequest request, Buffer body) {
+    QuarantineGate newGate(AdmittedRequest admitted, HttpServerRequest request, RequestBody body) {
         return new QuarantineGate(quarantine, crashCheck, time, admitted, request, body);
     }
 
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -245,6 +245,7 @@
         metrics.gauge("requests.in_flight", front::inFlight);
         metrics.gauge(
                 "answers.buffered_bytes", () -> (int) dispatcher.answerBuffers().bytes());
+        metrics.gauge("requests.body_bytes", () -> (int) front.bodyBytes());
         metrics.gauge("nodes.alive", dispatcher::nodeCount);
         metrics.gauge("workers.serving", () -> dispatcher.workers().size());
         metrics.gauge("detours.in_flight", detourServer::inFlight);
@@ -369,7 +370,10 @@
     }
 
     private boolean ready() {
-        return !stopping && storeReplica.configuration().isPresent() && storeReplica.upstreamRevision() >= 0;
+        return !stopping
+                && front.accepting()
+                && storeReplica.configuration().isPresent()
+                && storeReplica.upstreamRevision() >= 0;
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardedRequest.java
@@ -48,7 +48,6 @@
     private final AdmittedRequest admitted;
     private final HttpServerRequest request;
     private final CallerResponse callerResponse;
-    private final Buffer body;
     private final long arrivedMillis;
     private final long deadlineMillis;
     private final Set<String> triedWorkers = new HashSet<>();
@@ -60,6 +59,7 @@
     private final AttemptCounts counts;
     private final ReceivedAnswer received;
     private final RequestEnd end;
+    private RequestBody body;
     private UpstreamAttempt attempt;
     private AttemptTarget target;
     private long queueDeadlineMillis;
@@ -80,7 +80,7 @@
             AdmittedRequest admitted,
             RequestSource source,
             HttpServerRequest request,
-            Buffer body,
+            RequestBody body,
             long arrivedMillis,
             Runnable onDone) {
         this.environment = environment;
@@ -196,7 +196,7 @@
         if (gate.passes()) {
             submit();
         } else if (counts.arrivals() > 0) {
-            endQuarantined();
+            end.quarantined();
         } else {
             gate.tryOnce().thenAccept(allowed -> {
                 if (done) {
@@ -206,26 +206,18 @@
                     log.letThrough();
                     submit();
                 } else {
-                    endQuarantined();
+                    end.quarantined();
                 }
             });
         }
     }
 
-    private void endQuarantined() {
-        if (counts.runs() > 0) {
-            end.fail(RequestEnd.BAD_GATEWAY, gate.reason());
-        } else {
-            end.refuseUntil(QuarantineGate.RETRY_AFTER_MILLIS, gate.reason());
-        }
-    }
-
     /** Takes the request from a worker that has not begun to answer it if it has come into quarantine. */
     void onQuarantined() {
         if (attempt != null && gate.awaitsAnswer() && !gate.passes()) {
             attempt.cancel();
             endAttempt();
-            endQuarantined();
+            end.quarantined();
         }
     }
 
@@ -247,7 +239,7 @@
         }
         if (detour.deadEnd()) {
             queued = false;
-            endDeadEnd();
+            end.cutOff();
         } else if (detour.needed()) {
             detour.find().thenAccept(this::placeThrough);
         } else {
@@ -255,15 +247,6 @@
         }
     }
 
-    private void endDeadEnd() {
-        String reason = "this node is cut off from the workers";
-        if (counts.runs() > 0) {
-            end.fail(RequestEnd.BAD_GATEWAY, reason);
-        } else {
-            end.leaveToOthers(reason);
-        }
-    }
-
     private void placeThrough(Optional<String> peer) {
         if (!queued) {
             return;
@@ -475,6 +458,11 @@
     private void giveUpAnswer() {
         long bytes = received.heldBytes();
         dropAnswer();
+        if (done) {
+            // its caller reads too slowly
+            callerResponse.abort();
+            return;
+        }
         attempt.cancel();
         onFailure(new AttemptResult.Broken("the answer occupies " + bytes + " bytes without an end"));
     }
@@ -659,7 +647,7 @@
         if (answer.succeeded() && target.isWorker()) {
             gate.answered(answer.selfDelimited());
         }
-        end.forward(target, answer, answerHeaders, nowMillis() - arrivedMillis);
+        end.forward(target, answer, answerHeaders, nowMillis() - arrivedMillis, this::dropAnswer);
     }
 
     /**
@@ -672,11 +660,7 @@
 
     private void endUnplaced(String reason, long backlogMillis) {
         queued = false;
-        if (counts.runs() > 0) {
-            end.fail(RequestEnd.BAD_GATEWAY, reason);
-        } else {
-            end.refuse(reason, backlogMillis, leftMillis());
-        }
+        end.unplaced(reason, backlogMillis, leftMillis());
     }
 
     private void onDeadline() {
@@ -713,7 +697,10 @@
 
     private void finish() {
         done = true;
-        dropAnswer();
+        body = new RequestBody(0);
+        if (!callerResponse.writesAnswer()) {
+            dropAnswer();
+        }
         deadlineTimer.cancel();
         responseTimer.cancel();
         onDone.run();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.lagoonseam.core.audit.EventCode;
+import io.lagoonseam.core.forward.BodyMemory;
 import io.lagoonseam.core.forward.CallerLimits;
 import io.lagoonseam.core.forward.KeyWorkspace;
 import io.lagoonseam.core.forward.Route;
@@ -13,7 +14,6 @@
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.netty.channel.Channel;
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -52,9 +52,11 @@
     /** Retry delay for callers that reach a stopping node, in milliseconds; short since other nodes serve at once. */
     private static final long STOPPING_RETRY_MILLIS = 20;
 
-    /** Share of the process's memory that request bodies may occupy. */
+    /** Share of the process's memory, and of its heap, that request bodies may occupy. */
     private static final double BODY_MEMORY_SHARE = 0.1;
 
+    private static final double BODY_HEAP_SHARE = 0.4;
+
     /** Number of file descriptors not available to connections, since the platform reserves them for files. */
     private static final int RESERVED_DESCRIPTORS = 200;
 
@@ -100,8 +102,8 @@
             .setTcpNoDelay(true)
             .setReuseAddress(true)
             .setAcceptBacklog(ACCEPT_BACKLOG);
+    private final BodyMemory bodyMemory;
     private HttpServer server;
-    private long bodyBytes;
     private int inFlight;
     private Optional<StopPolicy> stopPolicy = Optional.empty();
     /** The listening socket, known from the first connection on. */
@@ -138,11 +140,19 @@
         this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.configuration = configuration;
+        this.bodyMemory = new BodyMemory(
+                environment.settings().resources().boundBytes(BODY_MEMORY_SHARE, BODY_HEAP_SHARE),
+                () -> limits().bodyBytes());
+    }
+
+    /** Returns the memory that the bodies of requests occupy, in bytes. */
+    long bodyBytes() {
+        return bodyMemory.bytes();
     }
 
-    private long maxBufferedBodyBytes() {
-        int memoryMegabytes = environment.settings().resources().memoryMegabytes();
-        return Math.round(BODY_MEMORY_SHARE * memoryMegabytes * (1 << 20));
+    /** Returns whether callers can connect: not if the listening socket was closed, though the node is not stopping. */
+    boolean accepting() {
+        return listener.map(Channel::isOpen).orElse(true);
     }
 
     Future<Void> start() {
@@ -242,40 +252,30 @@
     }
 
     /** One request from the arrival of its header section to the end of its response. */
-    private final class IncomingRequest {
+    private final class IncomingRequest implements BodyReader.Listener {
 
         private final HttpServerRequest request;
         private final long arrivedMillis = nowMillis();
-        private final Buffer body = Buffer.buffer();
-        private final long bodyLimitBytes = limits().bodyBytes();
-        private boolean readingEnded;
+        private final BodyReader reader;
+        private RequestBody body = new RequestBody(0);
         private boolean closesConnection;
-        private long readTimer = -1;
+        private boolean responded;
 
         IncomingRequest(HttpServerRequest request) {
             this.request = request;
+            // despite its name, the header timeout applies until the whole request has been read
+            BodyReader.Limits readLimits = new BodyReader.Limits(limits().bodyBytes(), limits().headerTimeoutMillis());
+            this.reader = new BodyReader(environment, bodyMemory, request, readLimits, this::priority, this);
         }
 
         void start() {
             inFlight++;
             callerConnection().ifPresent(caller -> caller.inFlight++);
             if (headerSectionBytes() > limits().headerBytes()) {
-                rejectIncomplete(HEADER_FIELDS_TOO_LARGE, 0);
+                rejectIncomplete(HEADER_FIELDS_TOO_LARGE, 0, reader::closeUnread);
                 return;
             }
-            // despite its name, the limit applies until the whole request has been read
-            readTimer = environment.vertx().setTimer(limits().headerTimeoutMillis(), timer -> {
-                if (!readingEnded) {
-                    rejectIncomplete(BAD_REQUEST, 0);
-                }
-            });
-            request.exceptionHandler(cause -> {
-                if (!readingEnded) {
-                    rejectIncomplete(BAD_REQUEST, 0);
-                }
-            });
-            request.handler(this::onBody);
-            request.endHandler(nothing -> onRequestRead());
+            reader.start();
             // a connection whose end was not announced stays open: the caller may send its next request at once
             request.response().headersEndHandler(nothing -> {
                 if (stopPolicy.isPresent()) {
@@ -303,31 +303,61 @@
             return Optional.ofNullable(callerConnections.get(request.connection()));
         }
 
-        private void onBody(Buffer bytes) {
-            if (readingEnded) {
-                return;
-            }
-            body.appendBuffer(bytes);
-            bodyBytes += bytes.length();
-            if (body.length() > bodyLimitBytes) {
-                rejectIncomplete(CONTENT_TOO_LARGE, 0);
-            } else if (bodyBytes > maxBufferedBodyBytes()) {
-                environment
-                        .events()
-                        .record(
-                                EventCode.QUEUE_FULL,
-                                "request bodies occupy " + bodyBytes + " bytes, above their share of the memory");
-                rejectIncomplete(SERVICE_UNAVAILABLE, UNAVAILABLE_RETRY_MILLIS);
+        /** Returns the priority of the request while its body is read; the lowest if it has no route. */
+        private int priority() {
+            CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
+            return configuration
+                    .get()
+                    .flatMap(current -> route(current).map(route -> priority(current, route, callerHeaders)))
+                    .orElse(Integer.MAX_VALUE);
+        }
+
+        private Optional<Route> route(RoutingConfiguration current) {
+            return request.authority() == null
+                    ? Optional.empty()
+                    : current.routes().find(request.authority().host(), path(request.uri()));
+        }
+
+        private static int priority(RoutingConfiguration current, Route route, CallerRequestHeaders callerHeaders) {
+            return current.workspaceOf(callerHeaders.apiKey())
+                    .flatMap(found -> found.priority().isPresent()
+                            ? Optional.of(found.priority().getAsInt())
+                            : Optional.empty())
+                    .orElse(route.priority());
+        }
+
+        @Override
+        public void onRead(RequestBody read) {
+            body = read;
+            boolean accepted = false;
+            try {
+                forward();
+                accepted = true;
+            } finally {
+                if (!accepted) {
+                    // nobody else ends a request that this node could not take
+                    request.connection().close();
+                    onResponded();
+                }
             }
         }
 
-        private void onRequestRead() {
-            environment.vertx().cancelTimer(readTimer);
-            if (readingEnded) {
-                return;
+        @Override
+        public void onFault(BodyReader.Fault fault) {
+            switch (fault) {
+                case MALFORMED, TOO_SLOW ->
+                    rejectIncomplete(BAD_REQUEST, 0, () -> request.connection().close());
+                case TOO_LARGE -> rejectIncomplete(CONTENT_TOO_LARGE, 0, reader::closeUnread);
+                case NO_ROOM -> {
+                    environment
+                            .events()
+                            .record(
+                                    EventCode.QUEUE_FULL,
+                                    "request bodies occupy " + bodyMemory.bytes()
+                                            + " bytes, their share of the memory");
+                    rejectIncomplete(SERVICE_UNAVAILABLE, UNAVAILABLE_RETRY_MILLIS, reader::closeUnread);
+                }
             }
-            readingEnded = true;
-            forward();
         }
 
         private void forward() {
@@ -341,8 +371,7 @@
                 reject(callerHeaders, BAD_REQUEST, 0);
                 return;
             }
-            Optional<Route> route =
-                    current.get().routes().find(request.authority().host(), path(request.uri()));
+            Optional<Route> route = route(current.get());
             if (route.isEmpty()) {
                 reject(callerHeaders, NOT_FOUND, 0);
                 return;
@@ -358,11 +387,7 @@
                 reject(callerHeaders, UNAUTHORIZED, 0);
                 return;
             }
-            int priority = keyWorkspace
-                    .flatMap(found -> found.priority().isPresent()
-                            ? Optional.of(found.priority().getAsInt())
-                            : Optional.empty())
-                    .orElse(route.get().priority());
+            int priority = priority(current.get(), route.get(), callerHeaders);
             String workspace = keyWorkspace.map(KeyWorkspace::workspace).orElse("");
             Admission admission = new Admission(callerHeaders, current.get(), route.get(), workspace, priority);
             if (route.get().kind().stream() && !callerHeaders.lastEventId().isEmpty()) {
@@ -442,10 +467,8 @@
             onResponded();
         }
 
-        /** Responds to a request that cannot be read completely, and closes its connection. */
-        private void rejectIncomplete(int status, long retryAfterMillis) {
-            readingEnded = true;
-            environment.vertx().cancelTimer(readTimer);
+        /** Responds to a request that is not read completely, and has its connection closed. */
+        private void rejectIncomplete(int status, long retryAfterMillis, Runnable close) {
             if (!request.response().ended() && !request.response().closed()) {
                 request.response().setStatusCode(status).putHeader("Connection", "close");
                 CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
@@ -453,9 +476,7 @@
                 environment
                         .protocol()
                         .addNodeHeaders(request.response().headers(), callerHeaders.requestId(), retryAfterMillis);
-                request.response()
-                        .end()
-                        .onComplete(written -> request.connection().close());
+                request.response().end().onComplete(written -> close.run());
             }
             onResponded();
         }
@@ -477,8 +498,12 @@
         }
 
         private void onResponded() {
+            if (responded) {
+                return;
+            }
+            responded = true;
             inFlight--;
-            bodyBytes -= body.length();
+            reader.release();
             callerConnection().ifPresent(caller -> {
                 caller.inFlight--;
                 caller.idleSinceMillis = nowMillis();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
@@ -66,5 +66,20 @@
      * @param maxDescriptors the limit of open files and sockets of the process
      * @param cpuMillicores the processor capacity, in thousandths of a core of the usual speed
      */
-    public record Resources(int memoryMegabytes, int maxDescriptors, int cpuMillicores) {}
+    public record Resources(int memoryMegabytes, int maxDescriptors, int cpuMillicores) {
+
+        /**
+         * Returns a bound of what the process may keep of one kind: a share of its memory, or of its heap where that is
+         * less.
+         *
+         * @param memoryShare the share of the memory of the process
+         * @param heapShare the share of the heap; the shares of all kinds leave room for what has no bound of its own
+         * @return the bound, in bytes
+         */
+        public long boundBytes(double memoryShare, double heapShare) {
+            return Math.round(Math.min(
+                    memoryShare * (memoryMegabytes << 20L),
+                    heapShare * Runtime.getRuntime().maxMemory()));
+        }
+    }
 }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/QuarantineGate.java
@@ -5,7 +5,6 @@
 import io.lagoonseam.core.quarantine.Quarantine;
 import io.lagoonseam.core.quarantine.Suspect;
 import io.lagoonseam.core.time.TimeSource;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -38,14 +37,13 @@
             TimeSource time,
             AdmittedRequest admitted,
             HttpServerRequest request,
-            Buffer body) {
+            RequestBody body) {
         this.quarantine = quarantine;
         this.crashCheck = crashCheck;
         this.time = time;
         this.caller = Rendezvous.hash(admitted.workspace());
-        this.digest = quarantine
-                .key()
-                .digest(request.authority().host(), request.uri(), admitted.workspace(), body.getBytes());
+        this.digest =
+                quarantine.key().digest(request.authority().host(), request.uri(), admitted.workspace(), body.parts());
         names.put(Suspect.request(digest), "this path, caller and body");
         admitted.callerHeaders()
                 .sharedParts()
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ReceivedAnswer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ReceivedAnswer.java
@@ -1,6 +1,7 @@
 package io.lagoonseam.entry.forward;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
 
 /**
  * The answer of one attempt as far as it has been received and not forwarded, and the place that a stream has reached.
@@ -82,9 +83,16 @@
         return body;
     }
 
-    /** Returns the number of bytes that are held. */
+    /** Returns the memory that is held, in bytes. */
     long heldBytes() {
-        return body.length() + splitter.rest().length();
+        return capacity(body) + capacity(splitter.rest());
+    }
+
+    /** Returns the memory that a buffer occupies, which is more than its length once it has grown. */
+    private static long capacity(Buffer buffer) {
+        return buffer instanceof BufferInternal internal && buffer.length() > 0
+                ? internal.getByteBuf().capacity()
+                : buffer.length();
     }
 
     String lastEventId() {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestEnd.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/RequestEnd.java
@@ -61,8 +61,16 @@
         return new Outcome(Result.ANSWERED, counts.runs(), 0, received.softwareVersion(), "");
     }
 
-    /** Forwards the rest of an answer that has been received completely. */
-    void forward(AttemptTarget target, UpstreamResponseHeaders answer, MultiMap headers, long sinceArrivalMillis) {
+    /**
+     * Forwards the rest of an answer that has been received completely; one that is no stream is held until it is
+     * written.
+     */
+    void forward(
+            AttemptTarget target,
+            UpstreamResponseHeaders answer,
+            MultiMap headers,
+            long sinceArrivalMillis,
+            Runnable onWritten) {
         if (admitted.route().kind().stream() && answer.succeeded()) {
             callerResponse.writeHeaders(answer, headers, sinceArrivalMillis, answered());
             if (!answer.selfDelimited() && !callerResponse.closeDelimited()) {
@@ -74,7 +82,7 @@
             breakOff(answer.status(), "a resumed stream ended with status " + answer.status());
             return;
         } else {
-            callerResponse.writeComplete(answer, headers, received.body(), answered());
+            callerResponse.writeComplete(answer, headers, received.body(), answered(), onWritten);
         }
         log.answered(target.name(), answer.status(), callerResponse.firstEventMillis(), counts.arrivals());
         onEnded.run();
@@ -104,9 +112,38 @@
                 new Outcome(Result.REFUSED, counts.runs(), retryAfterMillis, received.softwareVersion(), reason));
     }
 
-    /** Tells the node that has sent a request which provably has not run to try another one. */
-    void leaveToOthers(String reason) {
-        respond(SERVICE_UNAVAILABLE, new Outcome(Result.NOT_TAKEN, counts.runs(), 0, "", reason));
+    /**
+     * Ends a request that finds no place: refuses it, or fails it if an earlier attempt may have run.
+     *
+     * @param reason the reason
+     * @param backlogMillis the expected time until the work before it is done, in milliseconds; 0 if unknown
+     * @param remainingMillis the time until its deadline, in milliseconds
+     */
+    void unplaced(String reason, long backlogMillis, long remainingMillis) {
+        if (counts.runs() > 0) {
+            fail(BAD_GATEWAY, reason);
+        } else {
+            refuse(reason, backlogMillis, remainingMillis);
+        }
+    }
+
+    /** Ends a request that is in quarantine. */
+    void quarantined() {
+        if (counts.runs() > 0) {
+            fail(BAD_GATEWAY, gate.reason());
+        } else {
+            refuseUntil(QuarantineGate.RETRY_AFTER_MILLIS, gate.reason());
+        }
+    }
+
+    /** Ends a request of another node, which is told to try yet another one unless the request may have run. */
+    void cutOff() {
+        String reason = "this node is cut off from the workers";
+        if (counts.runs() > 0) {
+            fail(BAD_GATEWAY, reason);
+        } else {
+            respond(SERVICE_UNAVAILABLE, new Outcome(Result.NOT_TAKEN, counts.runs(), 0, "", reason));
+        }
     }
 
     /** Fails a request that may have run. */
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamAttempt.java
@@ -8,10 +8,13 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.List;
 
 /** Sends a request once to one worker, and reports to its listener until the attempt has ended or is cancelled. */
 final class UpstreamAttempt {
 
+    private static final String CONTENT_LENGTH = "Content-Length";
+
     private final ForwardProtocol protocol;
     private final WorkerConnections connections;
     private final Message message;
@@ -21,6 +24,7 @@
     private HttpClientResponse response;
     private UpstreamResponseHeaders answer;
     private boolean sending;
+    private boolean written;
     private boolean ended;
 
     /**
@@ -32,7 +36,7 @@
      * @param body the body
      * @param requestId the id that the worker has to echo
      */
-    record Message(HttpMethod method, String uri, MultiMap headers, Buffer body, String requestId) {}
+    record Message(HttpMethod method, String uri, MultiMap headers, RequestBody body, String requestId) {}
 
     /**
      * Receives the progress of an attempt: headers, body bytes and the end, or a failure at any time before the end.
@@ -125,11 +129,33 @@
         request.response().onSuccess(this::onResponse).onFailure(cause -> fail(broken(cause)));
         sending = true;
         listener.onSending();
-        if (message.body().length() == 0 && !message.headers().contains("Content-Length")) {
-            request.end();
-        } else {
-            request.end(message.body());
+        List<Buffer> body = message.body().buffers();
+        if (!body.isEmpty() || message.headers().contains(CONTENT_LENGTH)) {
+            request.putHeader(CONTENT_LENGTH, Integer.toString(message.body().length()));
+        }
+        write(request, body, 0);
+    }
+
+    /** Writes the body as fast as the worker reads it, so that only a small part of it is held twice. */
+    private void write(HttpClientRequest request, List<Buffer> body, int from) {
+        int next = from;
+        while (next < body.size() - 1 && !ended && !request.writeQueueFull()) {
+            request.write(body.get(next));
+            next++;
+        }
+        if (ended) {
+            return;
+        }
+        if (next < body.size() - 1) {
+            int rest = next;
+            request.drainHandler(nothing -> {
+                request.drainHandler(null);
+                write(request, body, rest);
+            });
+            return;
         }
+        Future<Void> end = body.isEmpty() ? request.end() : request.end(body.get(next));
+        end.onSuccess(nothing -> written = true);
     }
 
     private static AttemptResult broken(Throwable cause) {
@@ -157,7 +183,8 @@
             return;
         }
         ended = true;
-        if (filter.discardedResponse()) {
+        if (filter.discardedResponse() || !written) {
+            // the worker still awaits the rest of a request that it has answered already
             connection.close();
         } else {
             connection.release(answer);
