--- a/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeLinks.java
+++ b/lagoonseam-bench/src/main/java/io/lagoonseam/bench/deployment/NodeLinks.java
@@ -1,11 +1,13 @@
 package io.lagoonseam.bench.deployment;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.lagoonseam.bench.fleet.FreePorts;
 import io.lagoonseam.core.forward.RoutingConfiguration;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.entry.forward.RecordDecoder;
 import io.lagoonseam.entry.store.CollectionObject;
 import io.lagoonseam.standin.link.CuttableLink;
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +23,11 @@
         this.decoder = decoder;
     }
 
+    @Override
+    public JsonNode content(String collection, byte[] bytes) throws IOException {
+        return decoder.content(collection, bytes);
+    }
+
     @Override
     public Optional<RoutingConfiguration> configuration(CollectionObject object) {
         return decoder.configuration(object);
--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/PagedListingTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/PagedListingTest.java
@@ -60,7 +60,7 @@
             if (object.removed()) {
                 numbers.remove(object.name());
             } else {
-                numbers.put(object.name(), object.content().path("number").asInt());
+                numbers.put(object.name(), object.content().path("slots").asInt());
             }
         }
 
@@ -156,7 +156,7 @@
     private void write(Map<String, Integer> expected, int object, int number) throws InterruptedException {
         String name = String.format("w%03d", object);
         expected.put(name, number);
-        inStore(() -> stored.put(KIND, name, new JsonObject().put("number", number)));
+        inStore(() -> stored.put(KIND, name, new JsonObject().put("slots", number)));
     }
 
     private void remove(Map<String, Integer> expected, int object) throws InterruptedException {
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -9,6 +9,7 @@
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.entry.store.CollectionFollower;
 import io.lagoonseam.entry.store.CollectionObject;
+import io.lagoonseam.entry.store.CollectionStore;
 import io.lagoonseam.entry.store.StoreRevision;
 import io.lagoonseam.wire.ForwardMessages;
 import io.lagoonseam.wire.ForwardMessages.ObjectCopy;
@@ -184,13 +185,24 @@
                     upstreams.remove(object, removedAt);
                     directory.applyRemoval(object.name(), removedAt, nowMillis());
                 } else {
-                    upstreams.change(object);
-                    decodeUpstream(object).ifPresent(directory::applyChange);
+                    applyChange(object);
                 }
             }
             onUpstreams.run();
         }
 
+        /** Applies a change. An entry that has come to name no worker to use is like one that was removed. */
+        private void applyChange(CollectionObject object) {
+            Optional<UpstreamRecord> record = decodeUpstream(object);
+            if (record.isPresent()) {
+                upstreams.change(object);
+                directory.applyChange(record.get());
+            } else {
+                upstreams.remove(object, object.revision());
+                directory.applyRemoval(object.name(), object.revision(), nowMillis());
+            }
+        }
+
         /**
          * Returns the latest revision at which a record may have been removed, since the store does not tell it: before
          * the next change of the record, or that of the whole answer.
@@ -235,8 +247,16 @@
             directory.recordOutage(nowMillis());
         }
         List<UpstreamRecord> records = new ArrayList<>();
-        objects.forEach(object -> decodeUpstream(object).ifPresent(records::add));
-        upstreams.list(objects, revision);
+        List<CollectionObject> usable = new ArrayList<>();
+        long newest = -1;
+        for (CollectionObject object : objects) {
+            newest = Math.max(newest, object.revision());
+            decodeUpstream(object).ifPresent(record -> {
+                records.add(record);
+                usable.add(object);
+            });
+        }
+        upstreams.list(usable, newest, revision);
         directory.applyListing(records, revision, nowMillis());
         onUpstreams.run();
     }
@@ -263,19 +283,23 @@
     @Override
     public void apply(ForwardMessages.Snapshot snapshot) {
         if (snapshot.configurationVersion() >= configurationVersion()) {
-            snapshot.configuration().forEach(copy -> applyConfiguration(toCollectionObject(copy)));
+            snapshot.configuration()
+                    .forEach(copy -> applyConfiguration(toCollectionObject(CollectionStore.CONFIGURATION, copy)));
         }
         if (snapshot.upstreamRevision() > upstreams.revision()) {
             applyListing(
-                    snapshot.upstreams().stream().map(this::toCollectionObject).toList(), snapshot.upstreamRevision());
+                    snapshot.upstreams().stream()
+                            .map(copy -> toCollectionObject(CollectionStore.UPSTREAMS, copy))
+                            .toList(),
+                    snapshot.upstreamRevision());
             upstreams.completeUpTo(snapshot.upstreamRevision());
         }
     }
 
-    private CollectionObject toCollectionObject(ObjectCopy copy) {
+    private CollectionObject toCollectionObject(String collection, ObjectCopy copy) {
         JsonNode content = null;
         try {
-            content = JSON.readTree(copy.content());
+            content = decoder.content(collection, copy.content());
         } catch (IOException e) {
             environment.events().record(EventCode.CONFIGURATION_UNREADABLE, copy.name() + ": " + e.getMessage());
         }
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamObjects.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/UpstreamObjects.java
@@ -10,9 +10,10 @@
 import java.util.Set;
 
 /**
- * The objects of the workers' collection as a node holds them for the snapshots of its peers, and the revision up to
- * which it holds all changes. A listing may hold objects that are newer than its own revision, and may be older than
- * what is held; neither makes the held objects older or the revision higher than what is complete. Not thread-safe.
+ * The objects of the workers' collection that name a worker to use, as a node holds them for the snapshots of its
+ * peers, and the revision up to which it holds all changes. A listing may hold objects that are newer than its own
+ * revision, and may be older than what is held; neither makes the held objects older or the revision higher than what
+ * is complete. Not thread-safe.
  */
 final class UpstreamObjects {
 
@@ -32,15 +33,14 @@
     /**
      * Applies a listing.
      *
-     * @param listed all objects at its revision, and perhaps newer ones
+     * @param listed all objects at its revision that name a worker, and perhaps newer ones
+     * @param newestRevision the highest revision of all objects, also of those that name no worker
      * @param listingRevision the revision up to which the listing has all changes
      */
-    void list(Collection<CollectionObject> listed, long listingRevision) {
+    void list(Collection<CollectionObject> listed, long newestRevision, long listingRevision) {
         Set<String> names = new HashSet<>();
-        long newest = revision;
         for (CollectionObject object : listed) {
             names.add(object.name());
-            newest = Math.max(newest, object.revision());
             boolean removedSince =
                     !objects.containsKey(object.name()) && listingRevision < revision && object.revision() <= revision;
             if (!removedSince) {
@@ -49,7 +49,7 @@
         }
         objects.values().removeIf(object -> !names.contains(object.name()) && object.revision() <= listingRevision);
         long startOfEra = StoreRevision.of(Math.max(0, StoreRevision.era(listingRevision)), 0);
-        revision = Math.max(revision, Math.max(startOfEra, Math.min(newest, listingRevision)));
+        revision = Math.max(revision, Math.max(startOfEra, Math.min(newestRevision, listingRevision)));
     }
 
     /**
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/StoreReplicaTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/StoreReplicaTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.forward.RoutingConfiguration;
@@ -25,6 +26,11 @@
 
     private static final class Decoder implements RecordDecoder {
 
+        @Override
+        public JsonNode content(String collection, byte[] bytes) {
+            return JsonNodeFactory.instance.objectNode();
+        }
+
         @Override
         public Optional<RoutingConfiguration> configuration(CollectionObject object) {
             return Optional.empty();
@@ -32,6 +38,9 @@
 
         @Override
         public Optional<UpstreamRecord> upstream(CollectionObject object) {
+            if (!object.content().isObject()) {
+                return Optional.empty();
+            }
             return Optional.of(new UpstreamRecord(
                     object.name(), object.revision(), "app", "v1", "10.0.0.1", 80, "a", 6, false, object.revision()));
         }
@@ -67,6 +76,15 @@
         assertEquals(serving(), List.of("w1", "w2"));
     }
 
+    /** Guards against a worker that is used, or not, depending on whether its entry came in a listing or in a watch. */
+    @Test
+    public void anEntryThatNamesNoWorkerAnyMoreIsLikeOneThatWasRemoved() {
+        listener.changed(List.of(new CollectionObject("w1", 6, false, JsonNodeFactory.instance.arrayNode())), 6);
+        assertEquals(serving(), List.of("w2"));
+        listener.changed(List.of(written("w1", 7)), 7);
+        assertEquals(serving(), List.of("w1", "w2"));
+    }
+
     @Test
     public void aWorkerThatLeavesAgainWithinOneAnswerDoesNotServe() {
         listener.changed(List.of(removed("w1", 2), written("w1", 6), removed("w1", 6), written("w2", 9)), 9);
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/UpstreamObjectsTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/UpstreamObjectsTest.java
@@ -28,13 +28,13 @@
     @BeforeMethod
     public void list() {
         objects = new UpstreamObjects();
-        objects.list(List.of(written("a", 2), written("b", 3), written("c", 5)), 6);
+        objects.list(List.of(written("a", 2), written("b", 3), written("c", 5)), 5, 6);
     }
 
     /** Guards against a snapshot that claims changes which a page of the listing does not show (review, case 10). */
     @Test
     public void aListingWithNewerObjectsIsCompleteUpToItsOwnRevisionOnly() {
-        objects.list(List.of(written("a", 2), written("b", 3), written("c", 12)), 8);
+        objects.list(List.of(written("a", 2), written("b", 3), written("c", 12)), 12, 8);
         assertEquals(objects.revision(), 8);
         assertEquals(held(), Map.of("a", 2L, "b", 3L, "c", 12L));
         objects.change(written("a", 10));
@@ -45,7 +45,7 @@
     @Test
     public void anObjectThatIsNewerThanAListingThatLacksItIsKept() {
         objects.change(written("d", 9));
-        objects.list(List.of(written("a", 2), written("c", 5)), 8);
+        objects.list(List.of(written("a", 2), written("c", 5)), 5, 8);
         assertEquals(held(), Map.of("a", 2L, "c", 5L, "d", 9L));
         assertEquals(objects.revision(), 9);
     }
@@ -55,14 +55,14 @@
     public void aListingThatIsOlderThanWhatIsHeldMakesNothingOlder() {
         objects.change(written("a", 9));
         objects.remove(new CollectionObject("b", 3, true, null), 10);
-        objects.list(List.of(written("a", 2), written("b", 3), written("c", 5)), 6);
+        objects.list(List.of(written("a", 2), written("b", 3), written("c", 5)), 5, 6);
         assertEquals(held(), Map.of("a", 9L, "c", 5L));
         assertEquals(objects.revision(), 9);
     }
 
     @Test
     public void aRemovalThatIsToldAgainDoesNotRemoveALaterObject() {
-        objects.list(List.of(written("a", 2), written("b", 9), written("c", 5)), 6);
+        objects.list(List.of(written("a", 2), written("b", 9), written("c", 5)), 9, 6);
         objects.remove(new CollectionObject("b", 3, true, null), 7);
         assertEquals(held(), Map.of("a", 2L, "b", 9L, "c", 5L));
     }
--- a/lagoonseam-standin/src/main/java/io/lagoonseam/standin/store/StoreStandIn.java
+++ b/lagoonseam-standin/src/main/java/io/lagoonseam/standin/store/StoreStandIn.java
@@ -20,6 +20,7 @@
 public final class StoreStandIn extends AbstractStandIn {
 
     private static final int DEFAULT_PAGE_SIZE = 500;
+    private static final int MAX_PAGE_CHARACTERS = 1 << 20;
     private static final int MAX_HISTORY_CHANGES = 10_000;
     private static final long RATE_WINDOW_MILLIS = 1_000;
 
@@ -121,13 +122,20 @@
         Map<String, JsonObject> remaining =
                 after == null ? objectsOfKind(kind) : objectsOfKind(kind).tailMap(after, false);
         JsonArray items = new JsonArray();
-        remaining.values().stream().limit(pageSize).forEach(items::add);
+        long characters = 0;
+        for (JsonObject object : remaining.values()) {
+            characters += object.encode().length();
+            if (items.size() == pageSize || !items.isEmpty() && characters > MAX_PAGE_CHARACTERS) {
+                break;
+            }
+            items.add(object);
+        }
         sendJson(
                 context,
                 OK,
                 new JsonObject()
                         .put("items", items)
-                        .put("more", remaining.size() > pageSize)
+                        .put("more", remaining.size() > items.size())
                         .put("current_rev", revision));
     }
 
