--- a/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/PagedListingTest.java
+++ b/lagoonseam-bench/src/test/java/io/lagoonseam/bench/deployment/PagedListingTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import io.lagoonseam.core.audit.DecisionLog;
+import io.lagoonseam.core.time.SystemTimeSource;
 import io.lagoonseam.core.time.Timers;
 import io.lagoonseam.entry.settings.ListenAddress;
 import io.lagoonseam.entry.store.CollectionFollower;
@@ -103,6 +104,7 @@
                 new HttpCollectionStore(vertx, () -> new ListenAddress(HOST, stored.port()), DecisionLog.NOOP);
         Timers timers = (delayMillis, action) -> vertx.setTimer(delayMillis, timer -> action.run());
         CollectionFollower follower = new CollectionFollower(
+                new SystemTimeSource(),
                 timers,
                 store,
                 CollectionStore.UPSTREAMS,
--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
@@ -10,16 +10,11 @@
 /**
  * Tracks the known workers and whether they accept new requests. A worker that announces that it is leaving, or whose
  * record is removed while the store is available, gets no new requests from then on. A record that is removed during or
- * just after an outage of the store may only have expired, so its worker is kept for {@link #REREGISTRATION_MILLIS}.
+ * just after an outage of the store may only have expired, so its worker is kept for as long as {@link StoreOutages}
+ * says.
  */
 public final class UpstreamDirectory {
 
-    /**
-     * How long a record may be missing after an outage before its worker is removed, in milliseconds. Records that
-     * expired during an outage are written again within 2 s of its end; a fifth is added for transmission.
-     */
-    public static final long REREGISTRATION_MILLIS = 2_400;
-
     /**
      * The maximum number of tombstones, which prevent a removed worker from being restored by an older copy of its
      * record that another node sends. It is twice the number of workers in the largest deployment designed for, so that
@@ -52,13 +47,13 @@
         }
     };
 
-    private long lastOutageMillis = Long.MIN_VALUE;
+    private final StoreOutages outages;
 
     private record LeavingIncarnation(long startMillis, long learnedMillis) {}
 
     private static final class KnownWorker {
         private UpstreamRecord record;
-        private long missingSinceMillis = Long.MAX_VALUE;
+        private boolean missing;
 
         KnownWorker(UpstreamRecord record) {
             this.record = record;
@@ -66,12 +61,12 @@
     }
 
     /**
-     * Records that the store is unavailable or answers with errors.
+     * Creates a directory without workers.
      *
-     * @param nowMillis the current time, in milliseconds
+     * @param outages knows when the store was away
      */
-    public void recordOutage(long nowMillis) {
-        lastOutageMillis = nowMillis;
+    public UpstreamDirectory(StoreOutages outages) {
+        this.outages = outages;
     }
 
     /**
@@ -84,6 +79,12 @@
     public void applyListing(Collection<UpstreamRecord> records, long revision, long nowMillis) {
         Map<String, UpstreamRecord> listed = new HashMap<>();
         records.forEach(record -> listed.put(record.id(), record));
+        recordRemovals(
+                known.values().stream()
+                        .filter(entry -> !listed.containsKey(entry.record.id()) && entry.record.revision() <= revision)
+                        .map(entry -> entry.record.id())
+                        .toList(),
+                nowMillis);
         for (String id : List.copyOf(known.keySet())) {
             if (!listed.containsKey(id)) {
                 applyRemoval(id, revision, nowMillis);
@@ -118,7 +119,7 @@
             return;
         }
         entry.record = record;
-        entry.missingSinceMillis = Long.MAX_VALUE;
+        entry.missing = false;
     }
 
     /**
@@ -130,13 +131,13 @@
      */
     public void recordRemovals(Collection<String> ids, long nowMillis) {
         long serving = known.values().stream()
-                .filter(entry -> !isLeaving(entry.record) && entry.missingSinceMillis == Long.MAX_VALUE)
+                .filter(entry -> !isLeaving(entry.record) && !entry.missing)
                 .count();
         long removed = ids.stream()
-                .filter(id -> known.containsKey(id) && !isLeaving(known.get(id).record))
+                .filter(id -> known.containsKey(id) && !known.get(id).missing && !isLeaving(known.get(id).record))
                 .count();
         if (removed >= MIN_EXPIRED_TOGETHER && removed > EXPIRED_SHARE * serving) {
-            recordOutage(nowMillis);
+            outages.expired(nowMillis);
         }
     }
 
@@ -153,27 +154,23 @@
             return;
         }
         tombstoneRevisions.merge(id, revision, Math::max);
-        boolean mayHaveExpired = !isLeaving(entry.record) && nowMillis - REREGISTRATION_MILLIS <= lastOutageMillis;
-        if (!mayHaveExpired) {
+        if (!isLeaving(entry.record) && outages.mayHaveExpired(nowMillis)) {
+            entry.missing = true;
+        } else {
             known.remove(id);
-        } else if (entry.missingSinceMillis == Long.MAX_VALUE) {
-            entry.missingSinceMillis = nowMillis;
         }
     }
 
     /**
-     * Removes the workers whose records have been missing for too long. Nothing is removed during an outage, since
-     * workers cannot write their records again until it ends.
+     * Removes the workers whose records are still missing when they would have been written again. Nothing is removed
+     * during an outage, since workers cannot write their records until it ends.
      *
      * @param nowMillis the current time, in milliseconds
      */
     public void expire(long nowMillis) {
-        if (nowMillis - REREGISTRATION_MILLIS <= lastOutageMillis) {
-            return;
+        if (!outages.mayHaveExpired(nowMillis)) {
+            known.values().removeIf(entry -> entry.missing);
         }
-        known.values()
-                .removeIf(entry -> entry.missingSinceMillis != Long.MAX_VALUE
-                        && nowMillis - entry.missingSinceMillis > REREGISTRATION_MILLIS);
     }
 
     /**
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.StopPolicy;
+import io.lagoonseam.core.forward.StoreOutages;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.placement.HomeRanking;
 import io.lagoonseam.core.ratelimit.AnnouncedLimits;
@@ -68,7 +69,7 @@
     private static final long STOP_POLL_MILLIS = 50;
 
     private final ForwardEnvironment environment;
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamDirectory directory;
     private final ForwardDispatcher dispatcher;
     private final StoreReplica storeReplica;
     private final FrontServer front;
@@ -111,6 +112,8 @@
             Optional<UsagePlatform> usagePlatform) {
         this.environment = environment;
         this.metricsAddress = metricsAddress;
+        StoreOutages outages = new StoreOutages(environment.settings().bounds().recordIntervalMillis());
+        this.directory = new UpstreamDirectory(outages);
         Vertx vertx = environment.vertx();
         MetricRegistry registry = environment.registry();
         RequestMetrics metrics = new RequestMetrics(registry);
@@ -125,6 +128,7 @@
                 environment,
                 decoder,
                 directory,
+                outages,
                 dispatcher::configure,
                 this::onUpstreams,
                 dispatcher::onUpstreamsNotFollowed,
@@ -355,6 +359,7 @@
             CollectionFollower.Options options) {
         Vertx vertx = environment.vertx();
         return new CollectionFollower(
+                environment.time(),
                 (delayMillis, task) -> vertx.setTimer(delayMillis, timer -> task.run()),
                 store,
                 collection,
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/NodeSettings.java
@@ -47,8 +47,10 @@
      * @param retryRatio the retries of a service that are allowed for each request in the window
      * @param retryWindowMillis the window in which requests and retries are counted, in milliseconds
      * @param retrySlack the retries of a service that are allowed in each window in addition
+     * @param recordIntervalMillis the interval at which workers write their records, in milliseconds
      */
-    public record Bounds(long stopMillis, double retryRatio, long retryWindowMillis, double retrySlack) {}
+    public record Bounds(
+            long stopMillis, double retryRatio, long retryWindowMillis, double retrySlack, long recordIntervalMillis) {}
 
     /**
      * How the usage of workspaces is reported to the platform.
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.RoutingConfiguration;
+import io.lagoonseam.core.forward.StoreOutages;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.entry.store.CollectionFollower;
@@ -31,6 +32,7 @@
     private final ForwardEnvironment environment;
     private final RecordDecoder decoder;
     private final UpstreamDirectory directory;
+    private final StoreOutages outages;
     private final Consumer<RoutingConfiguration> onConfiguration;
     private final Runnable onUpstreams;
     private final LongConsumer onNotFollowed;
@@ -44,6 +46,7 @@
             ForwardEnvironment environment,
             RecordDecoder decoder,
             UpstreamDirectory directory,
+            StoreOutages outages,
             Consumer<RoutingConfiguration> onConfiguration,
             Runnable onUpstreams,
             LongConsumer onNotFollowed,
@@ -51,6 +54,7 @@
         this.environment = environment;
         this.decoder = decoder;
         this.directory = directory;
+        this.outages = outages;
         this.onConfiguration = onConfiguration;
         this.onUpstreams = onUpstreams;
         this.onNotFollowed = onNotFollowed;
@@ -86,11 +90,6 @@
         return environment.time().monotonicMillis();
     }
 
-    private void onStoreFailure(String collection, String reason) {
-        directory.recordOutage(nowMillis());
-        storeReachability.failed(collection, reason);
-    }
-
     private void applyConfiguration(CollectionObject object) {
         if (object.removed()) {
             environment
@@ -141,14 +140,20 @@
 
         @Override
         public void failed(String reason) {
-            onStoreFailure("configuration", reason);
+            storeReachability.failed("configuration", reason);
         }
 
         @Override
         public void succeeded() {
+            outages.succeeded(nowMillis());
             storeReachability.succeeded("configuration");
         }
 
+        @Override
+        public void away(long sentMillis) {
+            outages.failed(sentMillis, nowMillis());
+        }
+
         @Override
         public void silent() {
             onSilence.run();
@@ -218,14 +223,20 @@
 
         @Override
         public void failed(String reason) {
-            onStoreFailure("workers", reason);
+            storeReachability.failed("workers", reason);
         }
 
         @Override
         public void succeeded() {
+            outages.succeeded(nowMillis());
             storeReachability.succeeded("workers");
         }
 
+        @Override
+        public void away(long sentMillis) {
+            outages.failed(sentMillis, nowMillis());
+        }
+
         @Override
         public void silent() {
             onSilence.run();
@@ -244,7 +255,7 @@
         if (upstreams.revision() >= 0 && StoreRevision.era(revision) > StoreRevision.era(upstreams.revision())) {
             // the copy may lack workers that registered after it was taken, which write their records again
             environment.events().record(EventCode.STORE_RESTORED, "era " + StoreRevision.era(revision));
-            directory.recordOutage(nowMillis());
+            outages.expired(nowMillis());
         }
         List<UpstreamRecord> records = new ArrayList<>();
         List<CollectionObject> usable = new ArrayList<>();
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/store/CollectionFollower.java
@@ -1,5 +1,6 @@
 package io.lagoonseam.entry.store;
 
+import io.lagoonseam.core.time.TimeSource;
 import io.lagoonseam.core.time.Timers;
 import java.util.List;
 import java.util.Random;
@@ -43,6 +44,7 @@
     /** The maximum number of pending calls for the first listing. */
     private static final int MAX_CONCURRENT_LISTINGS = 5;
 
+    private final TimeSource time;
     private final Timers timers;
     private final CollectionStore store;
     private final String collection;
@@ -77,11 +79,13 @@
     private static final class Listing {
 
         private final boolean mayBeStale;
+        private final long sentMillis;
         private int pendingCalls;
         private boolean ended;
 
-        Listing(boolean mayBeStale) {
+        Listing(boolean mayBeStale, long sentMillis) {
             this.mayBeStale = mayBeStale;
+            this.sentMillis = sentMillis;
         }
     }
 
@@ -111,6 +115,15 @@
          */
         void failed(String reason);
 
+        /**
+         * Called when the store has not answered a call, which a watch that was cut off while it waited does not show.
+         *
+         * @param sentMillis when the call was sent, in milliseconds
+         */
+        default void away(long sentMillis) {
+            // the collection does not depend on how long the store was away
+        }
+
         /** Called when a call to the store succeeded. */
         void succeeded();
 
@@ -123,6 +136,7 @@
     /**
      * Creates a follower that is not started.
      *
+     * @param time the clocks
      * @param timers runs tasks later, on the event loop of the follower
      * @param store the store to list and watch
      * @param collection the name of the collection
@@ -131,12 +145,14 @@
      * @param options how the collection is followed
      */
     public CollectionFollower(
+            TimeSource time,
             Timers timers,
             CollectionStore store,
             String collection,
             Listener listener,
             Random random,
             Options options) {
+        this.time = time;
         this.timers = timers;
         this.store = store;
         this.collection = collection;
@@ -159,7 +175,7 @@
     }
 
     private void list(boolean mayBeStale) {
-        requestListing(new Listing(mayBeStale));
+        requestListing(new Listing(mayBeStale, time.monotonicMillis()));
     }
 
     private void requestListing(Listing listing) {
@@ -184,6 +200,7 @@
             onObjects(objects, listing.mayBeStale);
         } else if (listing.pendingCalls == 0) {
             listing.ended = true;
+            listener.away(listing.sentMillis);
             scheduleRetry(String.valueOf(result), this::list);
         }
     }
@@ -212,11 +229,12 @@
         watches++;
         watching = true;
         int watch = watches;
+        long sentMillis = time.monotonicMillis();
         store.watch(collection, revision, options.longPollTimeoutMillis().getAsLong())
                 .onSuccess(result -> {
                     if (watch == watches) {
                         watching = false;
-                        onChanged(result);
+                        onChanged(result, sentMillis);
                     }
                 });
     }
@@ -230,7 +248,7 @@
         }
     }
 
-    private void onChanged(StoreResult result) {
+    private void onChanged(StoreResult result, long sentMillis) {
         if (result instanceof StoreResult.Objects changes) {
             if (StoreRevision.era(changes.revision()) != StoreRevision.era(revision)) {
                 // the store was restored from a copy, so the changes since the revision of the watch are not complete
@@ -251,6 +269,7 @@
         } else {
             scheduleRetry(String.valueOf(result), this::list);
             if (result instanceof StoreResult.Unavailable unavailable && unavailable.silent()) {
+                listener.away(sentMillis);
                 listener.silent();
             }
         }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/ForwardStateExchangeTest.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.lagoonseam.core.audit.DecisionLog;
+import io.lagoonseam.core.forward.StoreOutages;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.forward.UpstreamState;
@@ -55,7 +56,7 @@
                 true,
                 List.of("10.0.0.2"),
                 new ListenAddress("10.9.0.1", 4),
-                new NodeSettings.Bounds(8_000, 0.2, 10_000, 50),
+                new NodeSettings.Bounds(8_000, 0.2, 10_000, 50, 1_200),
                 new NodeSettings.Resources(280, 4_000, 750),
                 Optional.empty());
         ForwardEnvironment environment = new ForwardEnvironment(
@@ -66,7 +67,7 @@
                 new Random(1),
                 DecisionLog.NOOP,
                 new MetricRegistry());
-        UpstreamDirectory directory = new UpstreamDirectory();
+        UpstreamDirectory directory = new UpstreamDirectory(new StoreOutages(1_200));
         directory.applyChange(new UpstreamRecord("w1", 1, "llm", "v1", "10.1.0.1", 80, "dc-1", 64, false, 1));
         dispatcher = new ForwardDispatcher(environment, vertx.createHttpClient(new HttpClientOptions()), directory);
         dispatcher.refresh();
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloaderTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/SettingsReloaderTest.java
@@ -31,7 +31,7 @@
                 true,
                 List.of(),
                 new ListenAddress("10.9.0.1", storePort),
-                new NodeSettings.Bounds(stopMillis, 0.2, 10_000, 50),
+                new NodeSettings.Bounds(stopMillis, 0.2, 10_000, 50, 1_200),
                 new NodeSettings.Resources(280, 4_000, 750),
                 Optional.empty());
     }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/StoreReplicaTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/StoreReplicaTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.lagoonseam.core.audit.DecisionLog;
 import io.lagoonseam.core.forward.RoutingConfiguration;
+import io.lagoonseam.core.forward.StoreOutages;
 import io.lagoonseam.core.forward.UpstreamDirectory;
 import io.lagoonseam.core.forward.UpstreamRecord;
 import io.lagoonseam.core.time.ManualTimeSource;
@@ -48,11 +49,19 @@
 
     @BeforeMethod
     public void start() {
-        directory = new UpstreamDirectory();
+        StoreOutages outages = new StoreOutages(1_200);
+        directory = new UpstreamDirectory(outages);
         ForwardEnvironment environment = new ForwardEnvironment(
                 null, null, null, new ManualTimeSource(), new Random(1), DecisionLog.NOOP, new MetricRegistry());
         listener = new StoreReplica(
-                        environment, new Decoder(), directory, configuration -> {}, () -> {}, forMillis -> {}, () -> {})
+                        environment,
+                        new Decoder(),
+                        directory,
+                        outages,
+                        configuration -> {},
+                        () -> {},
+                        forMillis -> {},
+                        () -> {})
                 .upstreamListener();
         listener.listed(List.of(written("w1", 2), written("w2", 3)), 3);
     }
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/CollectionFollowerTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/CollectionFollowerTest.java
@@ -23,11 +23,13 @@
         private final FaultyCollection store = new FaultyCollection(time);
         private final CollectionFollower follower;
         private long known = -1;
+        private int timesAway;
         private boolean fails;
 
         Following(long seed) {
             Random random = new Random(seed);
             follower = new CollectionFollower(
+                    time,
                     time,
                     store,
                     CollectionStore.CONFIGURATION,
@@ -77,6 +79,11 @@
             // calls may fail
         }
 
+        @Override
+        public void away(long sentMillis) {
+            timesAway++;
+        }
+
         @Override
         public void succeeded() {
             // listed and changed tell more
@@ -109,6 +116,20 @@
         }
     }
 
+    /** Guards against a watch that is cut off and counts as an outage of the store (review, case 9). */
+    @Test
+    public void aWatchThatIsCutOffDoesNotShowThatTheStoreIsAway() {
+        Following following = new Following(1);
+        following.follower.start();
+        following.time.runFor(1_000);
+        following.run(FaultyCollection.Mode.RESET, 1);
+        following.run(FaultyCollection.Mode.UP, CONTACT_MILLIS);
+        assertEquals(following.timesAway, 0);
+        following.run(FaultyCollection.Mode.RESET, CONTACT_MILLIS);
+        following.run(FaultyCollection.Mode.UP, CONTACT_MILLIS);
+        assertTrue(following.timesAway > 0, "listings were rejected");
+    }
+
     /** Guards against objects that end the following of a collection for good. */
     @Test
     public void followsAfterItsListenerHasFailed() {
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/StoreSilenceExchangeTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/store/StoreSilenceExchangeTest.java
@@ -89,6 +89,7 @@
         void start(int count, StoreSilenceExchange toldBy) {
             exchange = toldBy;
             follower = new CollectionFollower(
+                    time,
                     time,
                     store,
                     CollectionStore.UPSTREAMS,
