--- a/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
+++ b/lagoonseam-core/src/main/java/io/lagoonseam/core/forward/UpstreamDirectory.java
@@ -69,6 +69,15 @@
         this.outages = outages;
     }
 
+    /**
+     * Returns what is known of outages of the store.
+     *
+     * @return what the calls of this node have to be told to
+     */
+    public StoreOutages outages() {
+        return outages;
+    }
+
     /**
      * Applies a complete listing. Known workers that it does not contain are treated as removed.
      *
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/ForwardNode.java
@@ -1,6 +1,5 @@
 package io.lagoonseam.entry.forward;
 
-import com.codahale.metrics.MetricRegistry;
 import io.lagoonseam.core.audit.EventCode;
 import io.lagoonseam.core.forward.StopPolicy;
 import io.lagoonseam.core.forward.StoreOutages;
@@ -112,11 +111,10 @@
             Optional<UsagePlatform> usagePlatform) {
         this.environment = environment;
         this.metricsAddress = metricsAddress;
-        StoreOutages outages = new StoreOutages(environment.settings().bounds().recordIntervalMillis());
-        this.directory = new UpstreamDirectory(outages);
+        this.directory = new UpstreamDirectory(
+                new StoreOutages(environment.settings().bounds().recordIntervalMillis()));
         Vertx vertx = environment.vertx();
-        MetricRegistry registry = environment.registry();
-        RequestMetrics metrics = new RequestMetrics(registry);
+        RequestMetrics metrics = new RequestMetrics(environment.registry());
         HttpClientAgent client = vertx.createHttpClient(new HttpClientOptions()
                 .setProtocolVersion(HttpVersion.HTTP_1_1)
                 .setKeepAlive(true)
@@ -128,13 +126,12 @@
                 environment,
                 decoder,
                 directory,
-                outages,
                 dispatcher::configure,
                 this::onUpstreams,
                 dispatcher::onUpstreamsNotFollowed,
                 this::onStoreSilence);
         this.front = new FrontServer(environment, dispatcher, storeReplica::configuration, metrics);
-        this.operations = new OperationsServer(vertx, this::ready, registry);
+        this.operations = new OperationsServer(vertx, this::ready, environment.registry());
         this.nodes = new NodeDirectory(environment, store, dispatcher::nodeCount);
         this.transport = new VertxPeerTransport(new PeerTransportOptions(
                 nodes.ownId(),
@@ -143,7 +140,7 @@
                 nodes::address,
                 task -> vertx.runOnContext(nothing -> task.run()),
                 environment.time(),
-                registry,
+                environment.registry(),
                 environment.events()));
         WorkerAnnouncements announcements = dispatcher.announcements();
         this.issuerStanding = new IssuerStanding(
--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/StoreReplica.java
@@ -46,7 +46,6 @@
             ForwardEnvironment environment,
             RecordDecoder decoder,
             UpstreamDirectory directory,
-            StoreOutages outages,
             Consumer<RoutingConfiguration> onConfiguration,
             Runnable onUpstreams,
             LongConsumer onNotFollowed,
@@ -54,7 +53,7 @@
         this.environment = environment;
         this.decoder = decoder;
         this.directory = directory;
-        this.outages = outages;
+        this.outages = directory.outages();
         this.onConfiguration = onConfiguration;
         this.onUpstreams = onUpstreams;
         this.onNotFollowed = onNotFollowed;
--- a/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/StoreReplicaTest.java
+++ b/lagoonseam-entry/src/test/java/io/lagoonseam/entry/forward/StoreReplicaTest.java
@@ -54,14 +54,7 @@
         ForwardEnvironment environment = new ForwardEnvironment(
                 null, null, null, new ManualTimeSource(), new Random(1), DecisionLog.NOOP, new MetricRegistry());
         listener = new StoreReplica(
-                        environment,
-                        new Decoder(),
-                        directory,
-                        outages,
-                        configuration -> {},
-                        () -> {},
-                        forMillis -> {},
-                        () -> {})
+                        environment, new Decoder(), directory, configuration -> {}, () -> {}, forMillis -> {}, () -> {})
                 .upstreamListener();
         listener.listed(List.of(written("w1", 2), written("w2", 3)), 3);
     }
