--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -258,6 +258,7 @@
         private final long arrivedMillis = nowMillis();
         private final BodyReader reader;
         private RequestBody body = new RequestBody(0);
+        private Optional<CallerRequestHeaders> parsedHeaders = Optional.empty();
         private boolean closesConnection;
         private boolean responded;
 
@@ -303,12 +304,18 @@
             return Optional.ofNullable(callerConnections.get(request.connection()));
         }
 
+        private CallerRequestHeaders callerHeaders() {
+            if (parsedHeaders.isEmpty()) {
+                parsedHeaders = Optional.of(environment.protocol().parseCallerHeaders(request.headers()));
+            }
+            return parsedHeaders.get();
+        }
+
         /** Returns the priority of the request while its body is read; the lowest if it has no route. */
         private int priority() {
-            CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
             return configuration
                     .get()
-                    .flatMap(current -> route(current).map(route -> priority(current, route, callerHeaders)))
+                    .flatMap(current -> route(current).map(route -> priority(current, route, callerHeaders())))
                     .orElse(Integer.MAX_VALUE);
         }
 
@@ -361,7 +368,7 @@
         }
 
         private void forward() {
-            CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
+            CallerRequestHeaders callerHeaders = callerHeaders();
             Optional<RoutingConfiguration> current = configuration.get();
             if (current.isEmpty()) {
                 reject(callerHeaders, SERVICE_UNAVAILABLE, UNAVAILABLE_RETRY_MILLIS);
@@ -471,7 +478,7 @@
         private void rejectIncomplete(int status, long retryAfterMillis, Runnable close) {
             if (!request.response().ended() && !request.response().closed()) {
                 request.response().setStatusCode(status).putHeader("Connection", "close");
-                CallerRequestHeaders callerHeaders = environment.protocol().parseCallerHeaders(request.headers());
+                CallerRequestHeaders callerHeaders = callerHeaders();
                 logRejected(callerHeaders, status);
                 environment
                         .protocol()
