--- a/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
+++ b/lagoonseam-entry/src/main/java/io/lagoonseam/entry/forward/FrontServer.java
@@ -511,6 +511,8 @@
             responded = true;
             inFlight--;
             reader.release();
+            // an idle connection may keep its last request
+            body = new RequestBody(0);
             callerConnection().ifPresent(caller -> {
                 caller.inFlight--;
                 caller.idleSinceMillis = nowMillis();
