--- a/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/BodyMemoryTest.java
+++ b/lagoonseam-core/src/test/java/io/lagoonseam/core/forward/BodyMemoryTest.java
@@ -145,6 +145,22 @@
         assertTrue(urgentRefused == 0 || usualLeft == 0, urgentRefused + " urgent refused, " + usualLeft + " wait");
     }
 
+    /** Guards against an urgent body that waits while a less urgent one, which began to wait after it, holds memory. */
+    @Test
+    public void aLessUrgentBodyThatBeginsToWaitIsRefusedForAnUrgentOneThatWaits() {
+        Arriving usual = new Arriving(USUAL, LARGEST, false);
+        for (int step = 0; step < 10; step++) {
+            usual.arrive();
+        }
+        List<Arriving> urgent = arriving(12, URGENT, LARGEST);
+        for (int step = 0; step < 100; step++) {
+            urgent.forEach(Arriving::arrive);
+        }
+        assertTrue(urgent.stream().anyMatch(body -> !body.reads && !body.read()), "urgent bodies wait");
+        usual.arrive();
+        assertTrue(usual.refused, "the less urgent body holds " + usual.arrived + " bytes");
+    }
+
     @Test
     public void whatIsReleasedIsThereAgain() {
         List<Arriving> bodies = arriving(8, USUAL, LARGEST);
