--- a/review/standins-3/Bed.java
+++ b/review/standins-3/Bed.java
@@ -131,7 +131,6 @@
 
         void start() throws IOException {
             ProcessBuilder builder = new ProcessBuilder(command);
-            Map<String, String> inherited = new TreeMap<>(builder.environment());
             builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
             builder.environment().put("LAGOONSEAM_NODE_FILE", settings.toString());
             builder.redirectErrorStream(true);
@@ -143,21 +142,6 @@
             return process != null && process.isAlive();
         }
 
-        int exitCode() {
-            return process.exitValue();
-        }
-
-        void kill() throws InterruptedException {
-            process.destroyForcibly().waitFor();
-        }
-
-        /** Sends a signal by its name, such as STOP. */
-        void signal(String signal) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
-                    .start()
-                    .waitFor();
-        }
-
         boolean isReady() {
             try (Channel channel = new Channel(host, ready, 500)) {
                 return channel.call("GET", "/ready", Map.of("Host", "ready"), new byte[0]).status == 200;
@@ -235,7 +219,6 @@
         private final Map<String, TreeMap<String, Entry>> kinds = new TreeMap<>();
         private final List<Change> history = new ArrayList<>();
         private long revision = 10;
-        volatile Runnable onWatch = () -> {};
 
         private record Entry(long created, long revision, String spec) {
             String json(String name, long shownRevision) {
@@ -349,7 +332,6 @@
         private void get(HttpExchange exchange, String kind, String name, String query)
                 throws IOException, InterruptedException {
             if (query.contains("watch=")) {
-                onWatch.run();
                 long after = Long.parseLong(text(query, "watch=(\\d+)"));
                 long waitMillis = query.contains("wait_ms=") ? Long.parseLong(text(query, "wait_ms=(\\d+)")) : 0;
                 answer(exchange, 200, watch(kind, after, waitMillis));
@@ -783,10 +765,6 @@
             return receive();
         }
 
-        InputStream in() throws IOException {
-            return socket.getInputStream();
-        }
-
         @Override
         public void close() throws IOException {
             socket.close();
