--- a/review/standins-3/Bed.java
+++ b/review/standins-3/Bed.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -27,6 +29,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** What the scripts of this review share: stand-ins, processes of the project, and the record. */
 final class Bed implements Closeable {
@@ -96,6 +99,11 @@
                 // it has ended already
             }
         }
+        try (Stream<Path> files = Files.walk(scratch)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException | UncheckedIOException e) {
+            // it was deleted before
+        }
     }
 
     /** Ends everything and the script. */
